--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"ravendrift/internal/wire"
+	"sloehitch/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,262 @@
+// Package gate is the facade in blocking style before the decision module: Report tells it what happened,
+// Pick waits for what it decided, Tick answers its wish to look at the clock. One goroutine owns the module.
+package gate
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sloehitch/logic"
+)
+
+// Arrival, Outcome and Gauges are the module's terms for a request as read, the end of a run or call, and the
+// server's own meters.
+type (
+	Arrival = logic.Arrival
+	Outcome = logic.Outcome
+	Gauges  = logic.Gauges
+)
+
+// Verb says what was decided about a request.
+type Verb int
+
+const (
+	Run    Verb = iota // start it, or go on with a paused run
+	Refuse             // final answer: turned away
+	Fail               // final answer: failed
+	Stop               // stop its run
+	Join               // serve it from the result of the request it repeats
+	Keep               // keep its key
+	Forget             // forget its key
+	Call               // make the call it stands at
+	GoOn               // go on without that call
+)
+
+// Decision is one thing that the module decided.
+type Decision struct {
+	Verb Verb
+	ID   uint64
+	Span time.Duration // Refuse: when to come back; Call: how long to wait; Keep: how long
+	Last bool          // Refuse: no other node will help
+}
+
+// News is one thing that happened; the functions below make it.
+type News struct{ event logic.Event }
+
+// Arrived tells of a request that was read.
+func Arrived(id uint64, a Arrival) News {
+	return News{logic.Event{Kind: logic.EvArrival, ID: logic.RequestID(id), Arrival: a}}
+}
+
+// Ended tells that a run or a join is over.
+func Ended(id uint64, o Outcome, took time.Duration) News {
+	return News{logic.Event{Kind: logic.EvDone, ID: logic.RequestID(id), Outcome: o, Elapsed: micros(took)}}
+}
+
+// AtCall tells that a run stands at a call.
+func AtCall(id uint64) News {
+	return News{logic.Event{Kind: logic.EvNeedsCall, ID: logic.RequestID(id)}}
+}
+
+// CallEnded tells how a call ended.
+func CallEnded(id uint64, o Outcome, took time.Duration) News {
+	return News{logic.Event{Kind: logic.EvCallResult, ID: logic.RequestID(id), Outcome: o, Elapsed: micros(took)}}
+}
+
+// Gone tells that nobody waits for a request any more.
+func Gone(id uint64) News {
+	return News{logic.Event{Kind: logic.EvGone, ID: logic.RequestID(id)}}
+}
+
+// Leaving tells that the process is to be stopped after the given time.
+func Leaving(left time.Duration) News {
+	return News{logic.Event{Kind: logic.EvDrain, Left: micros(left)}}
+}
+
+func micros(d time.Duration) logic.Micros { return logic.Micros(d / time.Microsecond) }
+
+// Options are what a gate needs beside the module's settings.
+type Options struct {
+	Seed uint64
+	Now  func() time.Time
+	// Ask requests the gauges; they are to come through Tick. It must not block.
+	Ask func()
+	// Patience is how long a due tick waits for the gauges. While the machine stands still they do not come,
+	// and a module that looked at the clock then would take the silence of its runs for an illness.
+	Patience time.Duration
+}
+
+// Gate owns one decision module.
+type Gate struct {
+	server *logic.Server
+	opts   Options
+
+	mu     sync.Mutex
+	in     []logic.Event
+	out    []Decision
+	ready  *sync.Cond // out has something, or the gate is closed
+	closed bool
+
+	wake    chan struct{}
+	gauges  chan Gauges
+	done    chan struct{}
+	pending uint64 // tag of the timer that waits for gauges
+	asked   bool
+	last    logic.Micros
+	lastG   Gauges
+
+	signal atomic.Uint64 // bits of the free value; NaN until one is set
+	sick   atomic.Bool
+	idle   atomic.Int64
+}
+
+// New returns a running gate round a module with these settings.
+func New(cfg logic.Settings, opts Options) (*Gate, error) {
+	server, err := logic.New(cfg, opts.Seed)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gate{server: server, opts: opts, wake: make(chan struct{}, 1), gauges: make(chan Gauges, 1),
+		done: make(chan struct{}), lastG: Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}}
+	g.ready = sync.NewCond(&g.mu)
+	g.signal.Store(math.Float64bits(math.NaN()))
+	go g.run()
+	return g, nil
+}
+
+// Report tells what happened. It never blocks.
+func (g *Gate) Report(news ...News) {
+	g.mu.Lock()
+	for _, n := range news {
+		g.in = append(g.in, n.event)
+	}
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Tick hands over the gauges that Ask requested. Gauges that nothing waits for are dropped.
+func (g *Gate) Tick(m Gauges) {
+	select {
+	case g.gauges <- m:
+	default:
+	}
+}
+
+// Pick waits for the next decision. It returns false once the gate is closed.
+func (g *Gate) Pick() (Decision, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for len(g.out) == 0 && !g.closed {
+		g.ready.Wait()
+	}
+	if len(g.out) == 0 {
+		return Decision{}, false
+	}
+	d := g.out[0]
+	if g.out = g.out[1:]; len(g.out) == 0 {
+		g.out = nil
+	}
+	return d, true
+}
+
+// Close ends the gate; Pick returns what is left and then false.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.closed {
+		g.closed = true
+		close(g.done)
+		g.ready.Broadcast()
+	}
+}
+
+// Signal is the free value to tell callers, if one was set.
+func (g *Gate) Signal() (float64, bool) {
+	v := math.Float64frombits(g.signal.Load())
+	return v, !math.IsNaN(v)
+}
+
+// Well is what health checks are to hear.
+func (g *Gate) Well() bool { return !g.sick.Load() }
+
+// Idle is how long an unused connection may stay; 0 for as long as its caller likes.
+func (g *Gate) Idle() time.Duration { return time.Duration(g.idle.Load()) }
+
+func (g *Gate) run() {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	for {
+		var due bool
+		select {
+		case <-g.done:
+			return
+		case <-g.wake:
+		case m := <-g.gauges:
+			g.lastG = m
+			due = g.asked
+		case <-timer.C:
+			if !g.asked && g.opts.Ask != nil {
+				g.asked = true
+				timer.Reset(g.opts.Patience)
+				g.opts.Ask()
+				continue
+			}
+			due = true
+		}
+		g.step(due, timer)
+	}
+}
+
+// step takes in what has come and hands out what the module decides on it.
+func (g *Gate) step(due bool, timer *time.Timer) {
+	g.mu.Lock()
+	events := g.in
+	g.in = nil
+	g.mu.Unlock()
+	if due {
+		g.asked = false
+		events = append(events, logic.Event{Kind: logic.EvTimer, Tag: g.pending, Gauges: g.lastG})
+	}
+	if len(events) == 0 {
+		return
+	}
+	// The module's clock only advances, whatever is done to the system's.
+	g.last = max(g.last, logic.Micros(g.opts.Now().UnixMicro()))
+	actions := g.server.Step(g.last, events)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range actions {
+		if a.Kind == logic.ActTimer {
+			g.pending = a.Tag
+			timer.Reset(time.Duration(a.Span) * time.Microsecond)
+			continue
+		}
+		g.carry(a)
+	}
+	if len(g.out) > 0 {
+		g.ready.Broadcast()
+	}
+}
+
+var verbs = map[logic.ActionKind]Verb{logic.ActRun: Run, logic.ActRefuse: Refuse, logic.ActFail: Fail,
+	logic.ActStop: Stop, logic.ActJoin: Join, logic.ActKeepKey: Keep, logic.ActForgetKey: Forget,
+	logic.ActCall: Call, logic.ActGoOn: GoOn}
+
+func (g *Gate) carry(a logic.Action) {
+	switch a.Kind {
+	case logic.ActSay:
+		g.signal.Store(math.Float64bits(a.Value))
+	case logic.ActHealth:
+		g.sick.Store(!a.On)
+	case logic.ActCloseIdle:
+		g.idle.Store(int64(a.Span) * int64(time.Microsecond))
+	default:
+		g.out = append(g.out, Decision{Verb: verbs[a.Kind], ID: uint64(a.ID),
+			Span: time.Duration(a.Span) * time.Microsecond, Last: a.Last})
+	}
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,57 @@
+// Package limits holds every bound on sizes, counts and times in one type, filled once at start.
+package limits
+
+import "time"
+
+// Limits bounds what the program takes, keeps and waits for.
+type Limits struct {
+	MemoryBytes int64 // soft limit of the Go heap, below the platform's cap
+
+	Connections int // open in a front at once
+	OpenPerConn int // requests open on one connection
+	Requests    int // requests in hand
+	Keys        int // entries of the table of keys
+
+	Body       int // bytes of a request's body
+	Result     int // bytes of a result or of a reply to a call
+	Fields     int // bytes of a field list
+	Frame      int // bytes of one framed message
+	FrameParts int // parts of one framed message
+	Backlog    int // answer bytes that a peer may leave unread
+	NoticeLine int // bytes of one line from the runtime
+
+	Write                 time.Duration // for one write to any peer
+	Dial                  time.Duration // for one connection attempt
+	RetryLeast, RetryMost time.Duration // between attempts to reach the runtime
+	CallIdle              time.Duration // after which an unused connection to the catalogue is closed
+	CallSlack             time.Duration // past a call's own time before it is given up here
+	Pulse                 time.Duration // between reports to the directory
+	Gauges                time.Duration // for the gauges before a tick goes without
+	Closing               time.Duration // for a peer to close a connection after it was asked to
+	KeySlack              time.Duration // added to a key's window: clocks and sockets are not exact
+	DueShare              float64       // of the grace after a due time at which the guard answers
+	KillSpare             time.Duration // before the kill at which all that is left is answered
+	Sweep                 time.Duration // between looks for what has expired
+	Orphan                time.Duration // after its due time when a run that never reported is written off
+	LogEvery              time.Duration // between log lines on one kind of bad input
+}
+
+// For derives the limits from the platform's caps on memory and on descriptors.
+func For(memoryMB, sockets int) Limits {
+	memory := int64(max(memoryMB, 32)) << 20
+	return Limits{
+		MemoryBytes: memory * 6 / 10,
+		Connections: max(16, sockets*3/4-32), // balancers use half; the rest serves links below and files
+		OpenPerConn: 64,
+		Requests:    int(memory / 4 / (8 << 10)),
+		Keys:        int(memory / 4 / (8 << 10)),
+		Body:        2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
+		Backlog: 512 << 10, NoticeLine: 64 << 10,
+		Write: 3 * time.Second, Dial: time.Second,
+		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
+		CallIdle: 8 * time.Second, CallSlack: 100 * time.Millisecond,
+		Pulse: 700 * time.Millisecond, Gauges: 700 * time.Millisecond, Closing: 2 * time.Second,
+		KeySlack: 200 * time.Millisecond, DueShare: 0.5, KillSpare: 150 * time.Millisecond,
+		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second,
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,353 @@
+// Package node is the core between the fronts and the work: requests, attempts and outcomes. It knows no wire.
+// It keeps the rules on its own account, whatever the decision module says: one final answer for each request by
+// its due time, one run for a key in its window, no run of what comes too late after the notice to leave.
+package node
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"sloehitch/internal/gate"
+	"sloehitch/internal/limits"
+	"sloehitch/logic"
+)
+
+// Request is what a front has read.
+type Request struct {
+	ID      string // new with every try, and what the runner of the work is told
+	Class   int
+	Tenant  int // -1 if unknown
+	KB      float64
+	Hint    time.Duration
+	Rank    float64
+	Retry   bool
+	Source  int
+	Arrived time.Time // when it reached the machine
+	Key     string    // the same for all tries of one keyed request
+	Body    []byte
+	Runner  Runner
+}
+
+// Kind is how a request was answered.
+type Kind int
+
+const (
+	Served  Kind = iota // with the result of a run of this request
+	Refused             // this try never ran
+	Failed              // no promise of any kind
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Kind    Kind
+	Result  []byte
+	Holdoff time.Duration // Refused: how long to stay away
+	Last    bool          // Refused: no other node will help
+}
+
+// Runner does the work of requests. Its methods must not block; how runs go comes back through Ended and Wants.
+type Runner interface {
+	Start(id, class string, body []byte, keyed bool)
+	Stop(id string)
+	Continue(id string)
+	Give(id string, reply []byte)
+	Omit(id string, pos uint64)
+}
+
+// Caller makes calls below. Call must not block and calls done once, unless Quit came first.
+type Caller interface {
+	Call(id string, patience time.Duration, body []byte, done func(o gate.Outcome, took time.Duration, reply []byte))
+	Quit(id string)
+}
+
+// Clock tells the time by the system's Unix clock.
+type Clock interface{ Now() time.Time }
+
+// Options are what a node is made of.
+type Options struct {
+	Settings logic.Settings
+	Gate     *gate.Gate
+	Caller   Caller
+	Clock    Clock
+	Limits   limits.Limits
+	Log      *slog.Logger
+}
+
+// stage is how far a request's own work has come.
+type stage int
+
+const (
+	held   stage = iota // nothing of it runs
+	joined              // it waits for the result of another try
+	runs                // its run was asked for and has not ended
+	ended
+)
+
+// request is one try in hand, from its reading until it is answered and its run is over.
+type request struct {
+	Request
+	num     uint64 // what the module calls it
+	stage   stage
+	settled bool // answered, or its caller is known to be gone
+	gone    bool
+	reply   func(Answer)
+	due     time.Time
+	guard   *time.Timer
+	entered time.Time // when the module was told of it
+	paused  bool
+	wants   uint64 // the notice that asked for the call it stands at; 0: none
+	call    []byte
+	calling bool
+}
+
+// Counts are totals since the start, for the log.
+type Counts struct{ Read, Served, Refused, Failed, Gone, Late, Joined, Ran int }
+
+// Node owns all requests in hand.
+type Node struct {
+	opts Options
+
+	mu      sync.Mutex
+	byID    map[string]*request
+	byNum   map[uint64]*request
+	next    uint64
+	keys    *keyTable
+	leaving time.Time // when the notice to leave came; zero: it did not
+	kill    time.Time
+	open    int // requests that are owed an answer
+	counts  Counts
+	emptied chan struct{} // closed when leaving and nothing is owed any more
+}
+
+// New returns a node; Serve makes it work.
+func New(o Options) *Node {
+	window := func(class int) time.Duration { return span(o.Settings.Classes[class].Window) }
+	return &Node{opts: o, byID: map[string]*request{}, byNum: map[uint64]*request{},
+		keys: newKeyTable(o.Limits.Keys, o.Limits.KeySlack, window), emptied: make(chan struct{})}
+}
+
+// Serve carries out what the gate decides until the gate is closed.
+func (n *Node) Serve() {
+	for {
+		d, ok := n.opts.Gate.Pick()
+		if !ok {
+			return
+		}
+		n.mu.Lock()
+		if r := n.byNum[d.ID]; r != nil {
+			n.carryOut(r, d)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// Submit takes a request that was read. reply gets its one final answer, unless Gone comes first; it must not block.
+func (n *Node) Submit(q Request, reply func(Answer)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Clock.Now()
+	n.counts.Read++
+	if q.Arrived.After(now) {
+		q.Arrived = now // a caller's clock ahead of ours must not stretch its time
+	}
+	class := &n.opts.Settings.Classes[q.Class]
+	if class.Effect != logic.Keyed {
+		q.Key = ""
+	}
+	r := &request{Request: q, reply: reply, due: q.Arrived.Add(span(class.Deadline))}
+	if r.due.Before(now) {
+		r.due = now
+	}
+	if n.byID[q.ID] != nil || len(n.byNum) >= n.opts.Limits.Requests || class.Effect == logic.Keyed && q.Key == "" {
+		// A second request of the same name, a crowd beyond our own memory, or a keyed one whose repeats could
+		// not be told: it is answered and never known.
+		n.open++
+		n.settle(r, Answer{Kind: Refused})
+		return
+	}
+	n.open++
+	n.byID[q.ID] = r
+	r.guard = time.AfterFunc(r.due.Sub(now)+n.grace(), func() { n.overdue(r) })
+	n.enter(r, now)
+}
+
+// grace is how long past its due time the guard waits: the module answers first where it can.
+func (n *Node) grace() time.Duration {
+	return time.Duration(n.opts.Limits.DueShare * float64(span(n.opts.Settings.AnswerGrace)))
+}
+
+func span(m logic.Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+
+// enter tells the module of a request as of one that has just been read.
+func (n *Node) enter(r *request, now time.Time) {
+	n.next++
+	r.num, r.stage, r.entered = n.next, held, now
+	n.byNum[r.num] = r
+	a := gate.Arrival{Class: r.Class, Tenant: r.Tenant, KB: r.KB, Hint: logic.Micros(r.Hint / time.Microsecond),
+		Age: logic.Micros(now.Sub(r.Arrived) / time.Microsecond), Retry: r.Retry, Rank: r.Rank, Source: r.Source}
+	if r.Key != "" {
+		if f := n.keys.arrive(r); f != nil {
+			a.Forerunner = logic.RequestID(f.num)
+		}
+	}
+	n.opts.Gate.Report(gate.Arrived(r.num, a))
+}
+
+// Gone tells that nobody waits for a request any more.
+func (n *Node) Gone(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.byID[id]
+	if r == nil || r.settled {
+		return
+	}
+	r.settled, r.gone = true, true
+	n.counts.Gone++
+	n.closed(r)
+	n.opts.Gate.Report(gate.Gone(r.num))
+	if r.stage == held || r.stage == joined {
+		n.drop(r)
+	}
+}
+
+// settle is the only place that makes a final answer.
+func (n *Node) settle(r *request, a Answer) {
+	if r.settled {
+		return
+	}
+	if a.Kind == Refused && r.Key != "" && n.keys.ran(r) {
+		a = Answer{Kind: Failed} // it did run here: a refusal would send it to run elsewhere too
+	}
+	r.settled = true
+	switch a.Kind {
+	case Served:
+		n.counts.Served++
+	case Refused:
+		n.counts.Refused++
+	case Failed:
+		n.counts.Failed++
+	}
+	r.reply(a)
+	n.closed(r)
+}
+
+// closed takes a request off those that are owed an answer.
+func (n *Node) closed(r *request) {
+	if r.guard != nil {
+		r.guard.Stop()
+	}
+	n.open--
+	n.checkEmpty()
+}
+
+func (n *Node) checkEmpty() {
+	if n.open == 0 && !n.leaving.IsZero() {
+		select {
+		case <-n.emptied:
+		default:
+			close(n.emptied)
+		}
+	}
+}
+
+// drop forgets a request of which nothing runs and no answer is owed.
+func (n *Node) drop(r *request) {
+	if n.byNum[r.num] != r {
+		return
+	}
+	delete(n.byNum, r.num)
+	if n.byID[r.ID] == r {
+		delete(n.byID, r.ID)
+	}
+	if r.calling {
+		r.calling = false
+		n.opts.Caller.Quit(r.ID)
+	}
+	for _, waiting := range n.keys.abandon(r) {
+		n.again(waiting)
+	}
+}
+
+// again hands a request that waited for a try which never ran to the module once more, as a new one.
+func (n *Node) again(r *request) {
+	n.opts.Gate.Report(gate.Ended(r.num, logic.Moot, 0))
+	delete(n.byNum, r.num)
+	n.enter(r, n.opts.Clock.Now())
+}
+
+// overdue guards the first rule against a late or mistaken module: what is due is answered.
+func (n *Node) overdue(r *request) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r.settled {
+		return
+	}
+	n.counts.Late++
+	n.opts.Log.Warn("answered by the due-time guard", "id", r.ID, "stage", int(r.stage))
+	n.giveUp(r)
+}
+
+// giveUp answers a request without the module's word, and tells it.
+func (n *Node) giveUp(r *request) {
+	kind := Failed
+	if r.stage == held {
+		kind = Refused
+	}
+	n.settle(r, Answer{Kind: kind})
+	n.opts.Gate.Report(gate.Gone(r.num))
+	if r.stage == held || r.stage == joined {
+		n.drop(r)
+	}
+}
+
+// Leave is the notice that the process is to be stopped after the given time. The channel is closed once
+// nothing is owed any more.
+func (n *Node) Leave(left time.Duration) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaving.IsZero() {
+		n.leaving = n.opts.Clock.Now()
+		n.kill = n.leaving.Add(left)
+		n.opts.Gate.Report(gate.Leaving(left))
+		time.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
+		n.checkEmpty()
+	}
+	return n.emptied
+}
+
+// answerAll guards the end of a drain: all that was read is answered before the stop.
+func (n *Node) answerAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.byID {
+		if !r.settled {
+			n.giveUp(r)
+		}
+	}
+}
+
+// tooLate says whether a request came too late after the notice to leave to be run.
+func (n *Node) tooLate(r *request) bool {
+	return !n.leaving.IsZero() && r.Arrived.After(n.leaving.Add(span(n.opts.Settings.DrainGrace)))
+}
+
+// Sweep drops what has expired; it is to be called now and then.
+func (n *Node) Sweep() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Clock.Now()
+	n.keys.expire(now)
+	for _, r := range n.byNum {
+		if now.Sub(r.due) > n.opts.Limits.Orphan { // a run whose end was lost with a link
+			n.finish(r, logic.Failed, 0, nil)
+		}
+	}
+}
+
+// Totals are the counts so far, and the requests in hand.
+func (n *Node) Totals() (c Counts, hand, keys int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.counts, len(n.byNum), len(n.keys.entries)
+}
--- /dev/null
+++ b/internal/node/work.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"time"
+
+	"sloehitch/internal/gate"
+	"sloehitch/logic"
+)
+
+// carryOut does what the module decided about a request.
+func (n *Node) carryOut(r *request, d gate.Decision) {
+	switch d.Verb {
+	case gate.Run:
+		n.run(r)
+	case gate.Refuse:
+		n.settle(r, Answer{Kind: Refused, Holdoff: d.Span, Last: d.Last})
+		n.dropIdle(r)
+	case gate.Fail:
+		n.settle(r, Answer{Kind: Failed})
+		n.dropIdle(r)
+	case gate.Stop:
+		if r.stage == runs {
+			r.paused = true
+			r.Runner.Stop(r.ID)
+		}
+	case gate.Join:
+		n.join(r)
+	case gate.Keep:
+		if r.Key != "" {
+			n.keys.own(r)
+		}
+	case gate.Forget:
+		for _, waiting := range n.keys.abandon(r) {
+			n.again(waiting)
+		}
+	case gate.Call:
+		n.call(r, d.Span)
+	case gate.GoOn:
+		if r.wants != 0 {
+			pos := r.wants
+			r.wants, r.call = 0, nil
+			r.Runner.Omit(r.ID, pos)
+		}
+	}
+}
+
+// dropIdle drops an answered request of which nothing runs.
+func (n *Node) dropIdle(r *request) {
+	if r.stage == held || r.stage == joined {
+		n.drop(r)
+	}
+}
+
+// run starts a request, or goes on with a paused run. It guards two rules against a mistaken module: nothing that
+// came too late after the notice to leave is started, and no second try of a key.
+func (n *Node) run(r *request) {
+	switch {
+	case r.stage == runs && r.paused:
+		r.paused = false
+		r.Runner.Continue(r.ID)
+		return
+	case r.stage != held:
+		return
+	case n.tooLate(r):
+		n.settle(r, Answer{Kind: Refused})
+		n.finish(r, logic.Moot, 0, nil)
+		return
+	}
+	if r.Key != "" {
+		e := n.keys.own(r)
+		if e == nil {
+			n.settle(r, Answer{Kind: Refused})
+			n.finish(r, logic.Moot, 0, nil)
+			return
+		}
+		if e.ran {
+			n.join(r)
+			return
+		}
+		e.ran, e.from = true, r.Arrived
+	}
+	r.stage = runs
+	n.counts.Ran++
+	class := &n.opts.Settings.Classes[r.Class]
+	r.Runner.Start(r.ID, class.Name, r.Body, class.Effect != logic.Safe)
+}
+
+// join serves a request from the result of the try that it repeats, now or when that is over.
+func (n *Node) join(r *request) {
+	e := n.keys.key(r)
+	switch {
+	case r.stage != held || r.settled:
+	case r.Key == "" || e == nil || e.owner == r && !e.ran:
+		// The try that it repeats was answered without a run since: nothing stands in the way of this one.
+		n.again(r)
+	case e.over:
+		n.finishJoin(r, e)
+	default:
+		n.counts.Joined++
+		r.stage = joined
+		e.waiting = append(e.waiting, r)
+	}
+}
+
+// finishJoin answers a request as the try that it waited for was answered.
+func (n *Node) finishJoin(r *request, e *entry) {
+	r.stage = ended
+	took := n.opts.Clock.Now().Sub(r.entered)
+	if e.served {
+		n.settle(r, Answer{Kind: Served, Result: e.result})
+		n.opts.Gate.Report(gate.Ended(r.num, logic.OK, took))
+	} else {
+		n.settle(r, Answer{Kind: Failed})
+		n.opts.Gate.Report(gate.Ended(r.num, logic.Failed, took))
+	}
+	n.drop(r)
+}
+
+// Ended tells that a run is over.
+func (n *Node) Ended(id string, o gate.Outcome, took time.Duration, result []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.byID[id]; r != nil && r.stage == runs {
+		n.finish(r, o, took, result)
+	}
+}
+
+// finish ends a request's run: it answers it and all that waited for it.
+func (n *Node) finish(r *request, o gate.Outcome, took time.Duration, result []byte) {
+	n.opts.Gate.Report(gate.Ended(r.num, o, took))
+	started := r.stage == runs
+	r.stage = ended
+	if o == logic.OK {
+		n.settle(r, Answer{Kind: Served, Result: result})
+	} else {
+		n.settle(r, Answer{Kind: Failed})
+	}
+	if e := n.keys.entries[r.Key]; r.Key != "" && e != nil && e.owner == r && started {
+		if o == logic.Moot {
+			e.ran = false // nothing was started: drop hands the key to whoever waits
+		} else {
+			e.over, e.served = true, o == logic.OK
+			if e.served {
+				e.result = result
+			}
+			waiting := e.waiting
+			e.waiting = nil
+			for _, w := range waiting {
+				n.finishJoin(w, e)
+			}
+		}
+	}
+	n.drop(r)
+}
+
+// Wants tells that a run stands at a call; pos is the notice that asked for it.
+func (n *Node) Wants(id string, pos uint64, body []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.byID[id]
+	if r == nil || r.stage != runs {
+		return
+	}
+	r.wants, r.call = pos, body
+	n.opts.Gate.Report(gate.AtCall(r.num))
+}
+
+// call makes the call that a run stands at.
+func (n *Node) call(r *request, patience time.Duration) {
+	if r.stage != runs || r.wants == 0 || r.calling {
+		return
+	}
+	if n.opts.Caller == nil {
+		n.opts.Gate.Report(gate.CallEnded(r.num, logic.Unreachable, 0))
+		return
+	}
+	if patience <= 0 {
+		patience = max(r.due.Sub(n.opts.Clock.Now()), time.Millisecond)
+	}
+	r.calling = true
+	num := r.num
+	n.opts.Caller.Call(r.ID, patience, r.call, func(o gate.Outcome, took time.Duration, reply []byte) {
+		n.called(num, o, took, reply)
+	})
+}
+
+// called takes in how a call ended.
+func (n *Node) called(num uint64, o gate.Outcome, took time.Duration, reply []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.byNum[num]
+	if r == nil || !r.calling {
+		return
+	}
+	r.calling = false
+	if o == logic.OK && r.wants != 0 {
+		r.wants, r.call = 0, nil
+		r.Runner.Give(r.ID, reply)
+	}
+	n.opts.Gate.Report(gate.CallEnded(num, o, took))
+}
--- /dev/null
+++ b/internal/resp/front.go
@@ -0,0 +1,414 @@
+// Package resp is the front for the platform's balancers: it parses their messages, asks the core and writes its
+// answers, in whatever order they come.
+package resp
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
+)
+
+// Core is what the front asks of the node.
+type Core interface {
+	Submit(q node.Request, reply func(node.Answer))
+	Gone(id string)
+}
+
+// Standing is what goes with every answer.
+type Standing interface {
+	Signal() (float64, bool)
+	Well() bool
+	Idle() time.Duration
+}
+
+// Options are what a front is made of.
+type Options struct {
+	Core     Core
+	Standing Standing
+	Runner   node.Runner
+	Classes  map[string]int
+	Tenants  map[string]int
+	Limits   limits.Limits
+	Log      *slog.Logger
+}
+
+// Front serves balancers.
+type Front struct {
+	opts Options
+
+	closed chan struct{}
+
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	leaving bool
+	logged  time.Time // when bad input was logged last
+	hushed  int       // lines left out since
+}
+
+// New returns a front that serves nothing yet.
+func New(o Options) *Front {
+	return &Front{opts: o, conns: map[*conn]struct{}{}, closed: make(chan struct{})}
+}
+
+// listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
+// lack of descriptors: redcon would spin on it.
+type listener struct {
+	net.Listener
+	f *Front
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			// Once this fails redcon closes every connection, open requests or not: not before Close.
+			<-l.f.closed
+			return nil, err
+		case err != nil:
+			l.f.bad("accept failed", err)
+			time.Sleep(l.f.opts.Limits.RetryLeast)
+		case l.f.full():
+			c.Close() // nothing was read from it, so nothing is owed
+		default:
+			lim := l.f.opts.Limits
+			return &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame}}, nil
+		}
+	}
+}
+
+func (f *Front) full() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns) >= f.opts.Limits.Connections || f.leaving
+}
+
+// Serve serves what comes in on ln until it is closed.
+func (f *Front) Serve(ln net.Listener) error {
+	accept := func(c redcon.Conn) bool {
+		k := &conn{front: f, net: c.NetConn(), open: map[string]string{}, used: time.Now()}
+		c.SetContext(k)
+		f.mu.Lock()
+		f.conns[k] = struct{}{}
+		f.mu.Unlock()
+		return true
+	}
+	handle := func(c redcon.Conn, cmd redcon.Command) {
+		k := c.Context().(*conn)
+		k.serve(c.Detach(), cmd) // answers come out of order, from other goroutines: redcon only reads
+	}
+	closed := func(c redcon.Conn, err error) {
+		if k := c.Context().(*conn); !k.served {
+			k.end(err) // it ended before its first whole command
+		}
+	}
+	err := redcon.Serve(listener{ln, f}, handle, accept, closed)
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// bad logs bad input at a sane rate.
+func (f *Front) bad(what string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); now.Sub(f.logged) >= f.opts.Limits.LogEvery {
+		f.opts.Log.Warn(what, "error", err, "left_out", f.hushed)
+		f.logged, f.hushed = now, 0
+		return
+	}
+	f.hushed++
+}
+
+// Sweep closes connections that have been idle for longer than the core wishes, or all idle ones when leaving.
+// It asks first, so that no request crosses the close; a peer that doesn't close in time is cut off.
+func (f *Front) Sweep() {
+	idle := f.opts.Standing.Idle()
+	now := time.Now()
+	f.mu.Lock()
+	leaving := f.leaving
+	conns := make([]*conn, 0, len(f.conns))
+	for k := range f.conns {
+		conns = append(conns, k)
+	}
+	f.mu.Unlock()
+	for _, k := range conns {
+		k.sweep(now, idle, leaving)
+	}
+}
+
+// Leave asks all balancers to send nothing more here.
+func (f *Front) Leave() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	f.Sweep()
+}
+
+// Close ends Serve and closes all connections, once the listener is closed. It is to be called once.
+func (f *Front) Close() { close(f.closed) }
+
+// Open is the number of open connections.
+func (f *Front) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// conn is one balancer's connection.
+type conn struct {
+	front  *Front
+	net    net.Conn
+	served bool // its read loop was entered
+
+	mu      sync.Mutex
+	open    map[string]string // tags of open requests to their ids
+	used    time.Time
+	finAt   time.Time // when it was asked to close
+	out     []byte
+	writing bool
+	ended   bool // nothing more is read from it
+	dead    bool
+}
+
+// serve reads messages until the connection ends.
+func (k *conn) serve(dc redcon.DetachedConn, cmd redcon.Command) {
+	k.served = true
+	var err error
+	for err == nil {
+		if err = k.message(cmd.Args); err == nil {
+			cmd, err = dc.ReadCommand()
+		}
+	}
+	k.end(err)
+}
+
+// end takes the end of reading. If the peer left, nobody waits for what is open. If it sent what can't be
+// read, that is no reason to lose what it sent before: the connection closes once that is answered.
+func (k *conn) end(err error) {
+	gone := !errors.Is(err, errFrame) && !errors.Is(err, errTag) && !errors.Is(err, errTagTwice)
+	k.mu.Lock()
+	k.ended = true
+	var ids []string
+	if gone {
+		k.dead = true
+		for _, id := range k.open {
+			ids = append(ids, id)
+		}
+		clear(k.open)
+	}
+	k.closeIfDone()
+	k.mu.Unlock()
+	if !gone {
+		k.front.bad("bad message: the connection is closed", err)
+	} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		k.front.opts.Log.Debug("connection lost", "error", err)
+	}
+	for _, id := range ids {
+		k.front.opts.Core.Gone(id)
+	}
+}
+
+var errTagTwice = errors.New("the tag of an open request, or too many open requests")
+
+// message handles one array. An error ends the reading.
+func (k *conn) message(args [][]byte) error {
+	lim := k.front.opts.Limits
+	m, err := parse(args, lim.Body, lim.Fields)
+	if errors.Is(err, errTag) {
+		return err
+	}
+	if err != nil && m.verb != "DO" {
+		k.front.bad("bad message: passed over", err)
+		return nil
+	}
+	switch m.verb {
+	case "PING":
+		word := "GREEN"
+		if !k.front.opts.Standing.Well() {
+			word = "RED"
+		}
+		k.write(m.tag, word, k.signal(), nil, "")
+		return nil
+	case "UNDO":
+		k.undo(m.tag)
+		return nil
+	}
+	k.mu.Lock()
+	if _, twice := k.open[m.tag]; twice || len(k.open) >= lim.OpenPerConn {
+		k.mu.Unlock()
+		return errTagTwice
+	}
+	k.open[m.tag] = m.do.req
+	k.used = time.Now()
+	k.mu.Unlock()
+	class, known := k.front.opts.Classes[m.do.class]
+	if err == nil && !known {
+		err = errors.New("unknown class " + strconv.Quote(m.do.class))
+	}
+	if err != nil {
+		// It was read, so it is owed an answer; it never ran.
+		k.front.bad("bad request: refused", err)
+		k.answer(m.tag, node.Answer{Kind: node.Refused})
+		return nil
+	}
+	tenant, known := k.front.opts.Tenants[m.do.owner]
+	if !known {
+		tenant = -1
+	}
+	d := m.do
+	k.front.opts.Core.Submit(node.Request{ID: d.req, Class: class, Tenant: tenant, KB: d.need, Hint: d.work, Rank: d.level,
+		Retry: d.resent, Source: d.via, Arrived: d.arrived, Key: d.opkey, Body: d.body, Runner: k.front.opts.Runner},
+		func(a node.Answer) { k.answer(m.tag, a) })
+	return nil
+}
+
+func (k *conn) undo(tag string) {
+	k.mu.Lock()
+	id, known := k.open[tag]
+	delete(k.open, tag)
+	k.used = time.Now()
+	k.closeIfDone()
+	k.mu.Unlock()
+	if known {
+		k.front.opts.Core.Gone(id)
+	}
+}
+
+var words = map[node.Kind]string{node.Served: "ACK", node.Refused: "NAK", node.Failed: "FAIL"}
+
+func (k *conn) answer(tag string, a node.Answer) {
+	fields := k.signal()
+	if a.Kind == node.Refused && a.Holdoff > 0 {
+		fields = appendField(fields, "holdoff")
+		fields = strconv.AppendInt(fields, (a.Holdoff + time.Millisecond - 1).Milliseconds(), 10)
+	}
+	if a.Kind == node.Refused && a.Last {
+		fields = append(appendField(fields, "nomore"), '1')
+	}
+	k.write(tag, words[a.Kind], fields, a.Result, tag)
+}
+
+func appendField(fields []byte, name string) []byte {
+	if len(fields) > 0 {
+		fields = append(fields, ',')
+	}
+	return append(append(fields, name...), '=')
+}
+
+// signal is the field that goes with every answer once there is something to tell.
+func (k *conn) signal() []byte {
+	v, set := k.front.opts.Standing.Signal()
+	if !set {
+		return nil
+	}
+	return strconv.AppendFloat(appendField(nil, "signal"), v, 'f', 4, 64)
+}
+
+// write queues an answer, which closes the tag. It never blocks: a peer that doesn't read holds up nobody
+// else, and one that leaves too much unread is cut off.
+func (k *conn) write(tag, word string, fields, body []byte, closes string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.used = time.Now()
+	if closes != "" {
+		if _, open := k.open[closes]; !open {
+			return // undone meanwhile
+		}
+		delete(k.open, closes)
+	}
+	k.queue(tag, word, fields, body)
+}
+
+func (k *conn) queue(tag, word string, fields, body []byte) {
+	if k.dead {
+		return
+	}
+	parts := 2
+	if len(fields) > 0 || len(body) > 0 {
+		parts = 4
+	}
+	k.out = redcon.AppendArray(k.out, parts)
+	k.out = redcon.AppendBulkString(k.out, tag)
+	k.out = redcon.AppendBulkString(k.out, word)
+	if parts == 4 {
+		k.out = redcon.AppendBulk(k.out, fields)
+		k.out = redcon.AppendBulk(k.out, body)
+	}
+	if len(k.out) > k.front.opts.Limits.Backlog {
+		k.cut()
+		return
+	}
+	if !k.writing {
+		k.writing = true
+		go k.flush()
+	}
+}
+
+// flush writes what is queued, within a deadline for each write.
+func (k *conn) flush() {
+	var batch []byte
+	for {
+		k.mu.Lock()
+		if k.dead || len(k.out) == 0 {
+			k.writing = false
+			k.closeIfDone()
+			k.mu.Unlock()
+			return
+		}
+		batch, k.out = k.out, batch[:0]
+		k.mu.Unlock()
+		err := k.net.SetWriteDeadline(time.Now().Add(k.front.opts.Limits.Write))
+		if err == nil {
+			_, err = k.net.Write(batch)
+		}
+		if err != nil {
+			k.mu.Lock()
+			k.cut()
+			k.mu.Unlock()
+		}
+	}
+}
+
+// cut closes the socket now; the reader sees it and tells the core.
+func (k *conn) cut() {
+	k.dead = true
+	k.out = nil
+	k.net.Close()
+}
+
+// closeIfDone closes the socket once nothing more is read and all is written.
+func (k *conn) closeIfDone() {
+	if !k.ended || !k.dead && (len(k.open) > 0 || len(k.out) > 0 || k.writing) {
+		return
+	}
+	k.dead = true
+	k.net.Close()
+	k.front.mu.Lock()
+	delete(k.front.conns, k)
+	k.front.mu.Unlock()
+}
+
+func (k *conn) sweep(now time.Time, idle time.Duration, leaving bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case !k.finAt.IsZero():
+		if len(k.open) == 0 && now.Sub(k.finAt) > k.front.opts.Limits.Closing {
+			k.cut()
+		}
+	case leaving, len(k.open) == 0 && idle > 0 && now.Sub(k.used) > idle:
+		k.finAt = now
+		k.queue("0", "FIN", nil, nil)
+	}
+}
--- /dev/null
+++ b/internal/runtime/link.go
@@ -0,0 +1,405 @@
+// Package runtime holds the link to the process that does the work.
+package runtime
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"sloehitch/internal/gate"
+	"sloehitch/internal/limits"
+	"sloehitch/logic"
+)
+
+// Events are where the link tells how runs go.
+type Events interface {
+	Ended(id string, o gate.Outcome, took time.Duration, result []byte)
+	Wants(id string, pos uint64, body []byte)
+}
+
+// Options are what a link needs.
+type Options struct {
+	Address string
+	Meters  []string // the names of the gauges, in the order in which they are told
+	Gauges  func(gate.Gauges)
+	Limits  limits.Limits
+	Log     *slog.Logger
+}
+
+// command is a message to the runtime.
+type command struct {
+	Action  string  `json:"action"`
+	UID     string  `json:"uid,omitempty"`
+	Lane    string  `json:"lane,omitempty"`
+	Content *string `json:"content,omitempty"`
+	Pos     *uint64 `json:"pos,omitempty"`
+	Echo    string  `json:"echo,omitempty"`
+}
+
+// notice is a message from the runtime.
+type notice struct {
+	Action  string        `json:"action"`
+	Pos     uint64        `json:"pos"`
+	UID     string        `json:"uid"`
+	Code    string        `json:"code"`
+	WallMS  float64       `json:"wall_ms"`
+	Content string        `json:"content"`
+	Echo    string        `json:"echo"`
+	Meters  []json.Number `json:"meters"`
+}
+
+// job is a run that was asked for and has not ended. What a link that broke may have swallowed is sent again
+// from here, where the protocol makes that harmless.
+type job struct {
+	start []byte // nil for work with an effect: it must not be started twice
+	reply []byte // the last answer to a call, until anything more is heard of the run
+}
+
+// Link keeps a connection to the runtime open, for good.
+type Link struct {
+	opts   Options
+	events Events
+
+	mu     sync.Mutex
+	cond   *sync.Cond
+	queue  [][]byte // commands that no link has taken yet
+	jobs   map[string]*job
+	pos    uint64 // the last notice that was read
+	conn   net.Conn
+	synced bool
+	closed bool
+	tag    uint64
+}
+
+const barrier = "resumed" // the echo that shows that all earlier notices have been read
+
+// New returns a link that does nothing until Serve.
+func New(o Options) *Link {
+	l := &Link{opts: o, jobs: map[string]*job{}}
+	l.cond = sync.NewCond(&l.mu)
+	return l
+}
+
+func encode(c command) []byte {
+	line, err := json.Marshal(c)
+	if err != nil { // strings and numbers always marshal
+		panic(err)
+	}
+	return append(line, '\n')
+}
+
+func base(body []byte) *string {
+	s := base64.StdEncoding.EncodeToString(body)
+	return &s
+}
+
+// send queues a command; the caller holds mu.
+func (l *Link) send(c command) []byte {
+	line := encode(c)
+	l.queue = append(l.queue, line)
+	l.cond.Signal()
+	return line
+}
+
+// Start asks for a run.
+func (l *Link) Start(id, class string, body []byte, effect bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := &job{}
+	l.jobs[id] = j
+	if line := l.send(command{Action: "start", UID: id, Lane: class, Content: base(body)}); !effect {
+		j.start = line
+	}
+}
+
+// Stop pauses a run, or ends one whose request is over.
+func (l *Link) Stop(id string) { l.simple(command{Action: "stop", UID: id}) }
+
+// Continue goes on with a paused run.
+func (l *Link) Continue(id string) { l.simple(command{Action: "cont", UID: id}) }
+
+// Give hands over the reply to the call that a run waits for.
+func (l *Link) Give(id string, reply []byte) {
+	l.answerCall(id, command{Action: "give", UID: id, Content: base(reply)})
+}
+
+// Omit lets a run go on without the call that the notice at pos asked for.
+func (l *Link) Omit(id string, pos uint64) {
+	l.answerCall(id, command{Action: "omit", UID: id, Pos: &pos})
+}
+
+func (l *Link) simple(c command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.send(c)
+}
+
+func (l *Link) answerCall(id string, c command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	line := l.send(c)
+	if j := l.jobs[id]; j != nil {
+		j.reply, j.start = line, nil
+	}
+}
+
+// Ask requests the gauges. While there is no link nothing is asked, as nothing could answer.
+func (l *Link) Ask() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.synced {
+		l.tag++
+		l.send(command{Action: "gauges", Echo: strconv.FormatUint(l.tag, 10)})
+	}
+}
+
+// Serve keeps the link up until Close.
+func (l *Link) Serve(events Events) {
+	l.events = events
+	wait := l.opts.Limits.RetryLeast
+	for {
+		began := time.Now()
+		conn, err := net.DialTimeout("tcp", l.opts.Address, l.opts.Limits.Dial)
+		if err == nil {
+			err = l.serveConn(conn)
+		}
+		l.mu.Lock()
+		closed := l.closed
+		l.mu.Unlock()
+		if closed {
+			return
+		}
+		if time.Since(began) > l.opts.Limits.RetryMost {
+			wait = l.opts.Limits.RetryLeast // it was up: begin anew
+		}
+		l.opts.Log.Info("no link to the runtime", "address", l.opts.Address, "error", err, "retry", wait)
+		time.Sleep(wait)
+		wait = min(2*wait, l.opts.Limits.RetryMost)
+	}
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	l.cond.Broadcast()
+}
+
+func (l *Link) serveConn(conn net.Conn) error {
+	defer conn.Close()
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return net.ErrClosed
+	}
+	l.conn, l.synced = conn, false
+	pos := l.pos
+	l.mu.Unlock()
+	if err := l.write(conn, encode(command{Action: "sync", Pos: &pos})); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	go l.writeQueue(conn, stop)
+	err := l.read(conn)
+	close(stop)
+	l.mu.Lock()
+	l.conn, l.synced = nil, false
+	l.cond.Broadcast()
+	l.mu.Unlock()
+	return err
+}
+
+func (l *Link) write(conn net.Conn, b []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(l.opts.Limits.Write)); err != nil {
+		return err
+	}
+	_, err := conn.Write(b)
+	return err
+}
+
+// writeQueue writes what is queued once the runtime has answered the sync.
+func (l *Link) writeQueue(conn net.Conn, stop chan struct{}) {
+	var batch []byte
+	for {
+		l.mu.Lock()
+		for l.conn == conn && (!l.synced || len(l.queue) == 0) {
+			l.cond.Wait()
+		}
+		select {
+		case <-stop:
+			l.mu.Unlock()
+			return
+		default:
+		}
+		if l.conn != conn {
+			l.mu.Unlock()
+			return
+		}
+		batch = batch[:0]
+		for _, line := range l.queue {
+			batch = append(batch, line...)
+		}
+		l.queue = l.queue[:0]
+		l.mu.Unlock()
+		if err := l.write(conn, batch); err != nil {
+			conn.Close() // the reader notices
+			return
+		}
+	}
+}
+
+func (l *Link) read(conn net.Conn) error {
+	in := bufio.NewReaderSize(conn, 8<<10)
+	var line []byte
+	for {
+		part, err := in.ReadSlice('\n')
+		line = append(line, part...)
+		if err == bufio.ErrBufferFull && len(line) < l.opts.Limits.NoticeLine {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if err := l.take(line); err != nil {
+			return err
+		}
+		line = line[:0]
+	}
+}
+
+// take handles one notice. An error costs the link, which is then resumed.
+func (l *Link) take(line []byte) error {
+	var m notice
+	if err := json.Unmarshal(line, &m); err != nil {
+		return err
+	}
+	if m.Pos > 0 && !l.advance(m.Pos) {
+		return nil // read already, on an earlier link
+	}
+	switch m.Action {
+	case "ready":
+		l.ready(m)
+	case "end":
+		l.end(m)
+	case "wants":
+		body, err := base64.StdEncoding.DecodeString(m.Content)
+		if err != nil {
+			return err
+		}
+		l.heard(m.UID)
+		l.events.Wants(m.UID, m.Pos, body)
+	case "load":
+		if m.Echo == barrier {
+			l.resend()
+			return nil
+		}
+		l.opts.Gauges(l.gauges(m.Meters))
+	case "nack":
+		l.opts.Log.Warn("the runtime did not carry out a command", "command", m.Code, "id", m.UID)
+		if m.Code == "start" {
+			l.over(m.UID)
+			l.events.Ended(m.UID, logic.Moot, 0, nil)
+		}
+	}
+	return nil
+}
+
+// advance notes that a notice was read; a notice that came twice is not.
+func (l *Link) advance(pos uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if pos <= l.pos {
+		return false
+	}
+	l.pos = pos
+	return true
+}
+
+// ready opens the link for commands. On a resumed link the barrier comes first: once it is echoed, all that
+// happened meanwhile has been read.
+func (l *Link) ready(m notice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.opts.Log.Info("runtime ready", "state", m.Code, "up_ms", m.WallMS)
+	l.synced = true
+	if len(l.jobs) > 0 {
+		l.queue = append([][]byte{encode(command{Action: "gauges", Echo: barrier})}, l.queue...)
+	}
+	l.cond.Broadcast()
+}
+
+// resend repeats what the broken link may have swallowed: starts of work that may run again, and the replies
+// of runs that have shown no sign of life since.
+func (l *Link) resend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, j := range l.jobs {
+		for _, line := range [][]byte{j.start, j.reply} {
+			if line != nil {
+				l.queue = append(l.queue, line)
+			}
+		}
+	}
+	l.cond.Broadcast()
+}
+
+// heard notes a sign of life of a run.
+func (l *Link) heard(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if j := l.jobs[id]; j != nil {
+		j.start, j.reply = nil, nil
+	}
+}
+
+func (l *Link) over(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.jobs, id)
+}
+
+var ends = map[string]gate.Outcome{"OK": logic.OK, "ERROR": logic.Failed, "STOPPED": logic.Cancelled, "MOOT": logic.Moot}
+
+func (l *Link) end(m notice) {
+	l.over(m.UID)
+	o, known := ends[m.Code]
+	result, err := base64.StdEncoding.DecodeString(m.Content)
+	if !known || err != nil || len(result) > l.opts.Limits.Result {
+		l.opts.Log.Warn("a run ended in a way not understood", "id", m.UID, "code", m.Code, "error", err)
+		o, result = logic.Failed, nil
+	}
+	l.events.Ended(m.UID, o, time.Duration(m.WallMS*float64(time.Millisecond)), result)
+}
+
+func (l *Link) gauges(values []json.Number) gate.Gauges {
+	g := gate.Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}
+	for i, name := range l.opts.Meters {
+		if i >= len(values) {
+			break
+		}
+		v, err := values[i].Float64()
+		if err != nil {
+			continue
+		}
+		switch name {
+		case "core_use":
+			g.CoreUse = v
+		case "on_cores":
+			g.RunQueue = v
+		case "heap_share":
+			g.MemoryShare = v
+		case "links":
+			g.Connections = v
+		}
+	}
+	return g
+}
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -6,7 +6,8 @@
 	"fmt"
 	"io"
 
-	"ravendrift/logic"
+	"sloehitch/internal/settings"
+	"sloehitch/logic"
 )
 
 // host is one instance with the events of the batch in hand.
@@ -21,7 +22,7 @@
 type session struct {
 	hosts map[string]*host
 	order []*host // hosts touched by the batch in hand, in order of first mention
-	specs map[string]*vocabulary
+	specs map[string]*settings.Vocabulary
 	now   logic.Micros
 	batch string
 	open  bool
@@ -31,7 +32,7 @@
 func Serve(r io.Reader, w io.Writer) error {
 	in := bufio.NewReaderSize(r, 1<<20)
 	out := bufio.NewWriterSize(w, 1<<16)
-	s := &session{hosts: map[string]*host{}, specs: map[string]*vocabulary{}}
+	s := &session{hosts: map[string]*host{}, specs: map[string]*settings.Vocabulary{}}
 	for number := 1; ; number++ {
 		line, err := in.ReadString('\n')
 		if err != nil && !(errors.Is(err, io.EOF) && line != "") {
@@ -117,11 +118,11 @@
 
 func (s *session) begin(number string, f *fields) error {
 	seed := f.unsigned("seed")
-	settings, vocab, err := parseSettings(f)
+	cfg, vocab, err := parseSettings(f)
 	if err != nil {
 		return err
 	}
-	server, err := logic.New(settings, seed)
+	server, err := logic.New(cfg, seed)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,8 @@
 	"strconv"
 	"strings"
 
-	"ravendrift/logic"
+	"sloehitch/internal/settings"
+	"sloehitch/logic"
 )
 
 // fields takes the parts of a line one by one and keeps the first error.
@@ -109,19 +110,13 @@
 	return f.err
 }
 
-// vocabulary maps the names of one instance's settings to the indices that package logic uses.
-type vocabulary struct {
-	classes map[string]int
-	tenants map[string]int
-}
-
 // Bits of the attrs part of ORDER.
 const (
 	flagHint  = 1
 	flagRetry = 2
 )
 
-func parseEvent(name string, f *fields, v *vocabulary) (logic.Event, error) {
+func parseEvent(name string, f *fields, v *settings.Vocabulary) (logic.Event, error) {
 	var ev logic.Event
 	if name != "FIRED" && name != "QUIESCE" {
 		ev.ID = logic.RequestID(f.unsigned("request id"))
@@ -153,10 +148,10 @@
 	return ev, f.done()
 }
 
-func parseArrival(f *fields, v *vocabulary) logic.Arrival {
+func parseArrival(f *fields, v *settings.Vocabulary) logic.Arrival {
 	a := logic.Arrival{Tenant: -1}
 	class := f.word("class")
-	index, known := v.classes[class]
+	index, known := v.Classes[class]
 	if !known {
 		f.fail("class", class)
 	}
@@ -169,7 +164,7 @@
 	f.optional() // route-key: no decision uses it
 	a.Wait = f.optionalMicros("time-budget")
 	if owner := f.optional(); owner != "" && owner != "0" {
-		if a.Tenant, known = v.tenants[owner]; !known {
+		if a.Tenant, known = v.Tenants[owner]; !known {
 			f.fail("owner", owner)
 		}
 	}
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"ravendrift/logic"
+	"sloehitch/logic"
 )
 
 // A server with two cores and one class of reads takes a request, runs it and learns that it is done.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,6 +1,6 @@
 package logic
 
-// The decisions of ravendrift. The interface (settings, events, actions) is in api.go.
+// The decisions of sloehitch. The interface (settings, events, actions) is in api.go.
 //
 // The ordinary path is FEFM ("Flow Management for SIP Application Servers"): a held request starts only
 // if its wait so far plus a moving average of run times meets the aim D1 (new queue) or the looser D2
