--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -10,6 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"sloehitch/internal/config"
+	"sloehitch/internal/describe"
 )
 
 // version is the product's; the changelog says what each one brought.
@@ -24,17 +26,50 @@
 // files are the flags that name configuration files.
 type files struct {
 	Config string `help:"The platform's configuration, as JSON." env:"GW_CONFIG" required:"" type:"path"`
+	Deploy string `help:"Our own deployment settings; without this file all in it is off." default:"deploy/sloehitch.toml" type:"path"`
+}
+
+// loaded is all that the program is told.
+type loaded struct {
+	platform   *config.Platform
+	deploy     *config.Deploy
+	operations *describe.Operations // nil without a uwsgi front
+}
+
+func (f *files) load() (*loaded, error) {
+	p, err := config.Load(f.Config)
+	if err != nil {
+		return nil, err
+	}
+	d, err := config.LoadDeploy(f.Deploy)
+	if err != nil {
+		return nil, err
+	}
+	if p.Runtime == "" && d.Uwsgi.Listen == "" {
+		return nil, errors.New("nothing to serve: neither a runtime nor a uwsgi front is configured")
+	}
+	l := &loaded{platform: p, deploy: d}
+	if d.Uwsgi.Listen != "" {
+		if l.operations, err = describe.Load(d.OpenAPI, &p.Logic, p.Names.Classes, p.Names.Tenants); err != nil {
+			return nil, fmt.Errorf("%s: %w", d.Uwsgi.OpenAPI, err)
+		}
+	}
+	return l, nil
 }
 
 type checkCmd struct{ files }
 
 func (c *checkCmd) Run(_ *slog.Logger) error {
-	p, err := config.Load(c.Config)
+	l, err := c.load()
 	if err != nil {
 		return err
 	}
+	p := l.platform
 	fmt.Printf("%s: node %s on %s, %d classes, %d tenants, %d MB, %d descriptors\n", c.Config, p.Name, p.Listen,
 		len(p.Logic.Classes), len(p.Logic.Tenants), p.Caps.MemoryMB, p.Caps.Sockets)
+	if u := l.deploy.Uwsgi; u.Listen != "" {
+		fmt.Printf("%s: uwsgi on %s, servers %v\n", c.Deploy, u.Listen, u.Servers)
+	}
 	return nil
 }
 
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -18,6 +18,7 @@
 	"sloehitch/internal/node"
 	"sloehitch/internal/resp"
 	"sloehitch/internal/runtime"
+	"sloehitch/internal/uwsgi"
 )
 
 type serveCmd struct{ files }
@@ -29,22 +30,41 @@
 func (systemClock) Now() time.Time { return time.Now().Round(0) }
 
 func (c *serveCmd) Run(log *slog.Logger) error {
-	p, err := config.Load(c.Config)
+	l, err := c.load()
 	if err != nil {
 		return err
 	}
-	lim := limits.For(p.Caps.MemoryMB, p.Caps.Sockets)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	lim := limits.For(l.platform.Caps.MemoryMB, l.platform.Caps.Sockets)
 	debug.SetMemoryLimit(lim.MemoryBytes)
-	return serve(p, lim, log.With("node", p.Name))
+	d, err := start(l, lim, log.With("node", l.platform.Name))
+	if err != nil {
+		return err
+	}
+	return d.run(stop)
 }
 
-// serve wires the parts and runs them until the notice to leave has been carried out.
-func serve(p *config.Platform, lim limits.Limits, log *slog.Logger) error {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+// daemon is the running parts.
+type daemon struct {
+	platform *config.Platform
+	limits   limits.Limits
+	log      *slog.Logger
+
+	node      *node.Node
+	front     *resp.Front
+	uwsgi     *uwsgi.Front // nil where it is off
+	listeners []net.Listener
+	pulse     *directory.Pulse
+	failed    chan error
+}
+
+// start wires the parts and sets them going.
+func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
+	p := l.platform
+	d := &daemon{platform: p, limits: lim, log: log, failed: make(chan error, 2), pulse: directory.New(p.Name)}
 	clock := systemClock{}
 	gateOptions := gate.Options{Seed: seed(p.Seed), Now: clock.Now, Patience: lim.Gauges}
-
 	var link *runtime.Link
 	var g *gate.Gate
 	if p.Runtime != "" {
@@ -54,45 +74,77 @@
 	}
 	g, err := gate.New(p.Logic, gateOptions)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	options := node.Options{Settings: p.Logic, Gate: g, Clock: clock, Limits: lim, Log: log}
 	if p.Catalog != "" {
 		options.Caller = catalogue.New(p.Catalog, lim, log)
 	}
-	n := node.New(options)
-	go n.Serve()
-	if link != nil {
-		go link.Serve(n)
-	}
-	front := resp.New(resp.Options{Core: n, Standing: g, Runner: link, Classes: p.Names.Classes,
+	d.node = node.New(options)
+	d.front = resp.New(resp.Options{Core: d.node, Standing: g, Runner: link, Classes: p.Names.Classes,
 		Tenants: p.Names.Tenants, Limits: lim, Log: log})
-	ln, err := net.Listen("tcp", p.Listen)
-	if err != nil {
-		return err
+	if link != nil { // without a runtime nothing could run what balancers send
+		ln, err := d.listen(p.Listen)
+		if err != nil {
+			return nil, err
+		}
+		go link.Serve(d.node)
+		go func() { d.failed <- d.front.Serve(ln) }()
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- front.Serve(ln) }()
-	pulse := directory.New(p.Name)
+	if err := d.startUwsgi(l); err != nil {
+		return nil, err
+	}
+	go d.node.Serve()
 	if p.Lookup != "" {
 		go func() {
-			if err := pulse.Serve(p.Lookup, lim.Pulse, nil); err != nil {
+			if err := d.pulse.Serve(p.Lookup, lim.Pulse, nil); err != nil {
 				log.Warn("no reports to the directory", "error", err)
 			}
 		}()
 	}
-	log.Info("serving", "listen", p.Listen, "runtime", p.Runtime, "catalogue", p.Catalog, "version", version)
-	sweep := time.NewTicker(lim.Sweep)
+	log.Info("serving", "listen", p.Listen, "uwsgi", l.deploy.Uwsgi.Listen, "runtime", p.Runtime,
+		"catalogue", p.Catalog, "version", version)
+	return d, nil
+}
+
+func (d *daemon) listen(address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err == nil {
+		d.listeners = append(d.listeners, ln)
+	}
+	return ln, err
+}
+
+// startUwsgi starts the second front where the deployment file says so.
+func (d *daemon) startUwsgi(l *loaded) error {
+	u := l.deploy.Uwsgi
+	if u.Listen == "" {
+		return nil
+	}
+	ln, err := d.listen(u.Listen)
+	if err != nil {
+		return err
+	}
+	servers := uwsgi.NewServers(u.Servers, d.limits, d.log)
+	servers.Serve(d.node)
+	d.uwsgi = uwsgi.New(uwsgi.Options{Core: d.node, Mapper: l.operations, Runner: servers, Limits: d.limits, Log: d.log})
+	go func() { d.failed <- d.uwsgi.Serve(ln) }()
+	return nil
+}
+
+// run serves until the notice to leave has been carried out.
+func (d *daemon) run(stop <-chan os.Signal) error {
+	sweep := time.NewTicker(d.limits.Sweep)
 	defer sweep.Stop()
 	for {
 		select {
-		case err := <-failed:
+		case err := <-d.failed:
 			return err
 		case <-sweep.C:
-			n.Sweep()
-			front.Sweep()
+			d.node.Sweep()
+			d.front.Sweep()
 		case <-stop:
-			leave(p, lim, n, front, ln, pulse, log)
+			d.leave()
 			return nil
 		}
 	}
@@ -100,25 +152,27 @@
 
 // leave carries out the notice to leave: callers are sent elsewhere at once, what is in hand goes on, and the end
 // comes when nothing is owed and the callers have closed, or just before the kill.
-func leave(p *config.Platform, lim limits.Limits, n *node.Node, front *resp.Front, ln net.Listener, pulse *directory.Pulse, log *slog.Logger) {
-	kill := time.After(p.Stop() - lim.KillSpare/2)
-	log.Info("leaving", "stop", p.Stop())
-	done := n.Leave(p.Stop())
-	pulse.Leave()
-	ln.Close() // a refused connection proves that nothing ran
-	front.Leave()
-	look := time.NewTicker(lim.RetryLeast)
+func (d *daemon) leave() {
+	kill := time.After(d.platform.Stop() - d.limits.KillSpare/2)
+	d.log.Info("leaving", "stop", d.platform.Stop())
+	owed := d.node.Leave(d.platform.Stop())
+	d.pulse.Leave()
+	for _, ln := range d.listeners {
+		ln.Close() // a refused connection proves that nothing ran
+	}
+	d.front.Leave()
+	look := time.NewTicker(d.limits.RetryLeast)
 	defer look.Stop()
 	for {
 		select {
 		case <-kill:
-			log.Info("left at the last moment", "open", front.Open())
+			d.log.Info("left at the last moment", "open", d.open())
 			return
 		case <-look.C:
 			select {
-			case <-done:
-				if front.Open() == 0 {
-					log.Info("left")
+			case <-owed:
+				if d.open() == 0 {
+					d.log.Info("left")
 					return
 				}
 			default:
@@ -127,6 +181,13 @@
 	}
 }
 
+func (d *daemon) open() int {
+	if d.uwsgi == nil {
+		return d.front.Open()
+	}
+	return d.front.Open() + d.uwsgi.Open()
+}
+
 // seed turns the platform's seed into a number.
 func seed(text string) uint64 {
 	h := fnv.New64a()
--- /dev/null
+++ b/internal/config/deploy.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Uwsgi says where the uwsgi front listens and what stands below it.
+type Uwsgi struct {
+	Listen  string   `toml:"listen"`  // empty: off
+	Servers []string `toml:"servers"` // addresses of uwsgi servers
+	OpenAPI string   `toml:"openapi"` // the description of what is served, beside this file
+}
+
+// Deploy is our own file of deployment settings.
+type Deploy struct {
+	Uwsgi Uwsgi `toml:"uwsgi"`
+
+	OpenAPI []byte `toml:"-"` // the text of the description
+}
+
+// LoadDeploy reads and checks our deployment file. Without a file everything in it is off.
+func LoadDeploy(path string) (*Deploy, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return &Deploy{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	d, err := ParseDeploy(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if d.Uwsgi.Listen == "" {
+		return d, nil
+	}
+	if d.OpenAPI, err = os.ReadFile(filepath.Join(filepath.Dir(path), d.Uwsgi.OpenAPI)); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// ParseDeploy reads and checks a deployment file's text.
+func ParseDeploy(text []byte) (*Deploy, error) {
+	d := &Deploy{}
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(d); err != nil {
+		return nil, err
+	}
+	u := d.Uwsgi
+	if u.Listen == "" {
+		return d, nil
+	}
+	if u.OpenAPI == "" || len(u.Servers) == 0 {
+		return nil, errors.New("uwsgi: openapi and servers are needed where listen is set")
+	}
+	for _, address := range append([]string{u.Listen}, u.Servers...) {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, fmt.Errorf("uwsgi: %w", err)
+		}
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/describe/openapi.go
@@ -0,0 +1,187 @@
+// Package describe works with the descriptions of what is served: an OpenAPI document maps uwsgi requests to the
+// classes of the settings, and an AsyncAPI document tells the platform's messages.
+package describe
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/getkin/kin-openapi/routers"
+	"github.com/getkin/kin-openapi/routers/gorillamux"
+
+	"sloehitch/internal/node"
+	"sloehitch/logic"
+)
+
+// extension is the name of the OpenAPI extension that an operation must carry to be served.
+const extension = "x-sloehitch"
+
+// terms are what the extension says of an operation.
+type terms struct {
+	Class     string   `json:"class"`     // a class of the settings
+	Semantics string   `json:"semantics"` // retryable, dedup or fragile; must be the class's
+	Key       string   `json:"key"`       // dedup: header:NAME or query:NAME that is the same for all tries
+	Worth     *float64 `json:"worth"`     // takes the place of the class's worth
+	WorkMS    float64  `json:"work-ms"`   // the work to expect on one core; 0: unknown
+	KB        float64  `json:"kb"`        // memory while held; 0: the packet's size
+	Tenant    string   `json:"tenant"`    // header:NAME or query:NAME that names the tenant
+	Retry     string   `json:"retry"`     // header:NAME that is present on further tries
+
+	class int
+}
+
+// Operations map uwsgi requests to classes.
+type Operations struct {
+	router  routers.Router
+	terms   map[*openapi3.Operation]*terms
+	tenants map[string]int
+	ranks   []float64
+}
+
+var semantics = map[string]logic.Effect{"retryable": logic.Safe, "dedup": logic.Keyed, "fragile": logic.Unsafe}
+
+// Load reads an OpenAPI document and holds it against the settings, in which it may change the worth of classes.
+func Load(text []byte, cfg *logic.Settings, classes, tenants map[string]int) (*Operations, error) {
+	loader := openapi3.NewLoader() // external references stay off
+	doc, err := loader.LoadFromData(text)
+	if err != nil {
+		return nil, err
+	}
+	if err := doc.Validate(context.Background()); err != nil {
+		return nil, err
+	}
+	doc.Servers = nil // paths match wherever the front stands
+	o := &Operations{terms: map[*openapi3.Operation]*terms{}, tenants: tenants}
+	if o.router, err = gorillamux.NewRouter(doc); err != nil {
+		return nil, err
+	}
+	for path, item := range doc.Paths.Map() {
+		for method, op := range item.Operations() {
+			t, err := readTerms(op, cfg, classes)
+			if err != nil {
+				return nil, fmt.Errorf("%s %s: %w", method, path, err)
+			}
+			if t != nil {
+				o.terms[op] = t
+			}
+		}
+	}
+	if len(o.terms) == 0 {
+		return nil, fmt.Errorf("no operation carries %s", extension)
+	}
+	o.rank(cfg.Classes)
+	return o, nil
+}
+
+// rank gives each class an equal portion from 0 to 1 in order of worth, the least first, and its requests the middle.
+func (o *Operations) rank(classes []logic.Class) {
+	o.ranks = make([]float64, len(classes))
+	for i, c := range classes {
+		below := 0
+		for j, other := range classes {
+			if other.Worth < c.Worth || other.Worth == c.Worth && j < i {
+				below++
+			}
+		}
+		o.ranks[i] = (float64(below) + 0.5) / float64(len(classes))
+	}
+}
+
+// readTerms reads an operation's extension; nil if it has none.
+func readTerms(op *openapi3.Operation, cfg *logic.Settings, classes map[string]int) (*terms, error) {
+	value, found := op.Extensions[extension]
+	if !found {
+		return nil, nil
+	}
+	text, err := json.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	t := &terms{}
+	decoder := json.NewDecoder(strings.NewReader(string(text)))
+	decoder.DisallowUnknownFields() // a misspelt term would be a rule that silently does not hold
+	if err := decoder.Decode(t); err != nil {
+		return nil, fmt.Errorf("%s: %w", extension, err)
+	}
+	var known bool
+	if t.class, known = classes[t.Class]; !known {
+		return nil, fmt.Errorf("%s: class %q is not in the settings", extension, t.Class)
+	}
+	return t, t.check(&cfg.Classes[t.class])
+}
+
+func (t *terms) check(class *logic.Class) error {
+	effect, known := semantics[t.Semantics]
+	switch {
+	case !known:
+		return fmt.Errorf("%s: semantics %q is none of retryable, dedup, fragile", extension, t.Semantics)
+	case effect != class.Effect:
+		return fmt.Errorf("%s: semantics %q is not that of class %s in the settings", extension, t.Semantics, t.Class)
+	case effect == logic.Keyed && t.Key == "":
+		return fmt.Errorf("%s: dedup needs a key", extension)
+	case t.WorkMS < 0 || t.KB < 0 || t.Worth != nil && *t.Worth < 0:
+		return fmt.Errorf("%s: negative figure", extension)
+	}
+	for _, from := range []string{t.Key, t.Tenant, t.Retry} {
+		if place, name, _ := strings.Cut(from, ":"); from != "" && (name == "" || !slices.Contains([]string{"header", "query"}, place)) {
+			return fmt.Errorf("%s: %q is neither header:NAME nor query:NAME", extension, from)
+		}
+	}
+	if t.Worth != nil {
+		class.Worth = *t.Worth
+	}
+	return nil
+}
+
+// Map fills in what a request is by its operation. It returns 0, or the status to answer with: 400 for a request
+// without its key, 404 and 405 for what is not described.
+func (o *Operations) Map(vars map[string]string, q *node.Request) int {
+	at := &url.URL{Scheme: "http", Host: "localhost", Path: vars["PATH_INFO"], RawQuery: vars["QUERY_STRING"]}
+	if at.Path == "" {
+		at.Path, _, _ = strings.Cut(vars["REQUEST_URI"], "?")
+	}
+	route, _, err := o.router.FindRoute(&http.Request{Method: vars["REQUEST_METHOD"], URL: at, Host: at.Host})
+	if errors.Is(err, routers.ErrMethodNotAllowed) {
+		return http.StatusMethodNotAllowed
+	}
+	if err != nil || o.terms[route.Operation] == nil {
+		return http.StatusNotFound
+	}
+	t := o.terms[route.Operation]
+	query := at.Query()
+	q.Class, q.Rank = t.class, o.ranks[t.class]
+	q.Hint = time.Duration(t.WorkMS * float64(time.Millisecond))
+	if q.KB = t.KB; q.KB == 0 {
+		q.KB = float64(len(q.Body)) / 1024
+	}
+	q.Retry = find(t.Retry, vars, query) != ""
+	if tenant, known := o.tenants[find(t.Tenant, vars, query)]; known {
+		q.Tenant = tenant
+	}
+	if t.Key != "" {
+		if q.Key = find(t.Key, vars, query); q.Key == "" || len(q.Key) > 256 {
+			return http.StatusBadRequest
+		}
+	}
+	return 0
+}
+
+// find is the value at a place such as header:Idempotency-Key, or "".
+func find(from string, vars map[string]string, query url.Values) string {
+	place, name, _ := strings.Cut(from, ":")
+	switch place {
+	case "header":
+		return vars["HTTP_"+strings.ToUpper(strings.ReplaceAll(name, "-", "_"))]
+	case "query":
+		return query.Get(name)
+	}
+	return ""
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -20,6 +20,17 @@
 	Backlog    int // answer bytes that a peer may leave unread
 	NoticeLine int // bytes of one line from the runtime
 
+	KeptResult int // bytes of a result that is kept for repeats
+
+	Vars       int // bytes of a uwsgi packet's variables
+	VarCount   int // and their number
+	Content    int // bytes of a uwsgi request's body
+	Response   int // bytes of a response from a uwsgi server
+	UwsgiConns int // uwsgi callers at once, on either side
+	HTTPHead   int // bytes of a response's head
+
+	Read                  time.Duration // for a uwsgi request to come whole
+	Exchange              time.Duration // for a uwsgi server to answer
 	Write                 time.Duration // for one write to any peer
 	Dial                  time.Duration // for one connection attempt
 	RetryLeast, RetryMost time.Duration // between attempts to reach the runtime
@@ -47,6 +58,10 @@
 		Keys:        int(memory / 4 / (8 << 10)),
 		Body:        2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
 		Backlog: 512 << 10, NoticeLine: 64 << 10,
+		KeptResult: 16 << 10,
+		Vars:       32 << 10, VarCount: 256, Content: 64 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
+		UwsgiConns: max(8, min(sockets/8, int(memory/(2<<20)))),
+		Read:       10 * time.Second, Exchange: time.Minute,
 		Write: 3 * time.Second, Dial: time.Second,
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
 		CallIdle: 8 * time.Second, CallSlack: 100 * time.Millisecond,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	Result  []byte
 	Holdoff time.Duration // Refused: how long to stay away
 	Last    bool          // Refused: no other node will help
+	Late    bool          // Failed: its due time has come
 }
 
 // Runner does the work of requests. Its methods must not block; how runs go comes back through Ended and Wants.
@@ -227,6 +228,7 @@
 		n.counts.Refused++
 	case Failed:
 		n.counts.Failed++
+		a.Late = n.opts.Clock.Now().After(r.due.Add(-n.grace()))
 	}
 	r.reply(a)
 	n.closed(r)
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -106,7 +106,7 @@
 func (n *Node) finishJoin(r *request, e *entry) {
 	r.stage = ended
 	took := n.opts.Clock.Now().Sub(r.entered)
-	if e.served {
+	if e.served && e.owner.Runner == r.Runner { // another protocol's result would not be understood
 		n.settle(r, Answer{Kind: Served, Result: e.result})
 		n.opts.Gate.Report(gate.Ended(r.num, logic.OK, took))
 	} else {
@@ -148,6 +148,9 @@
 			for _, w := range waiting {
 				n.finishJoin(w, e)
 			}
+			if len(result) > n.opts.Limits.KeptResult {
+				e.served, e.result = false, nil // later repeats fail: it must not run again
+			}
 		}
 	}
 	n.drop(r)
