--- /dev/null
+++ b/cmd/sloehitch/rules_test.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloehitch/internal/config"
+	"sloehitch/internal/describe"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/standin"
+	"sloehitch/internal/uwsgi"
+)
+
+const api = `{"openapi":"3.0.3","info":{"title":"booking","version":"1"},"paths":{
+ "/slots":{"get":{"responses":{"200":{"description":"ok"}},"x-sloehitch":{"class":"slot-search","semantics":"retryable"}}},
+ "/book":{"post":{"responses":{"200":{"description":"ok"}},"x-sloehitch":{"class":"book","semantics":"dedup","key":"header:Idempotency-Key"}}}}}`
+
+// served is a whole node on real sockets, for one test.
+type served struct {
+	*daemon
+	address, uwsgi string
+	stop           chan os.Signal
+	stopped        chan error
+}
+
+func serveNode(t *testing.T, rt *standin.Runtime, servers ...string) *served {
+	t.Helper()
+	ln, lu := standin.Listen(t), standin.Listen(t)
+	ln.Close()
+	lu.Close()
+	p, err := config.Parse([]byte(standin.Config(ln.Addr().String(), rt.Address, "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loaded{platform: p, deploy: &config.Deploy{}}
+	if len(servers) > 0 {
+		l.deploy.Uwsgi = config.Uwsgi{Listen: lu.Addr().String(), Servers: servers}
+		if l.operations, err = describe.Load([]byte(api), &p.Logic, p.Names.Classes, p.Names.Tenants); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d, err := start(l, limits.For(64, 256), standin.Quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &served{d, ln.Addr().String(), lu.Addr().String(), make(chan os.Signal, 1), make(chan error, 1)}
+	go func() { s.stopped <- d.run(s.stop) }()
+	t.Cleanup(func() {
+		for _, ln := range d.listeners {
+			ln.Close()
+		}
+	})
+	return s
+}
+
+func req(n int) string { return fmt.Sprintf("%016x", n) }
+
+// only fails if anything but the answer to one more check is still to come on a connection.
+func only(t *testing.T, b *standin.Balancer, tag string) {
+	t.Helper()
+	b.Send(standin.Array("PING", tag, ""))
+	if got := b.Read(); len(got) < 2 || got[0] != tag || got[1] != "GREEN" {
+		t.Errorf("after the last answer came %q", got)
+	}
+}
+
+func TestOneAnswerByTheDueTime(t *testing.T) {
+	hold := make(chan struct{})
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { <-hold; return "OK", "late" })
+	b := standin.Dial(t, serveNode(t, rt).address)
+	began := time.Now()
+	b.Do(1, "book", req(1), began, "a", ",opkey=k1")
+	if got := b.Read(); len(got) < 2 || got[0] != "1" || got[1] != "FAIL" {
+		t.Fatalf("answer %q, want FAIL: it runs, so a refusal would be a lie", got)
+	}
+	if took := time.Since(began); took < 500*time.Millisecond {
+		t.Errorf("answered after %v, long before its due time", took)
+	}
+	close(hold) // the run ends after the answer: there must be no second one
+	for rt.Runs("x") == 0 {
+		b.Do(2, "slot-search", req(2), time.Now(), "x", "")
+		if got := b.Read(); len(got) < 2 || got[0] != "2" {
+			t.Fatalf("answer %q", got)
+		}
+	}
+	only(t, b, "3")
+}
+
+func TestKeyedRunsOnce(t *testing.T) {
+	for _, c := range []struct{ code, word string }{{"OK", "ACK"}, {"ERROR", "FAIL"}} {
+		hold := make(chan struct{})
+		rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { <-hold; return c.code, "result" })
+		b := standin.Dial(t, serveNode(t, rt).address)
+		at := time.Now()
+		for tag := 1; tag <= 3; tag++ { // repeats while it runs or is held
+			b.Do(tag, "book", req(tag), at, "a", ",opkey=k1")
+		}
+		close(hold)
+		for range 3 {
+			got := b.Read()
+			// One that was still held may be refused for the repeat that takes its place.
+			if len(got) < 2 || got[1] != c.word && (got[1] != "NAK" || got[0] == "3") {
+				t.Errorf("%s: answer %q, want %s", c.code, got, c.word)
+			}
+		}
+		b.Do(4, "book", req(4), time.Now(), "a", ",opkey=k1,resent=1") // one long after
+		if got := b.Read(); len(got) < 2 || got[1] != c.word || c.code == "OK" && got[3] != "result" {
+			t.Errorf("%s: a later repeat got %q, want %s", c.code, got, c.word)
+		}
+		if n := rt.Runs("a"); n != 1 {
+			t.Errorf("%s: ran %d times", c.code, n)
+		}
+		only(t, b, "5")
+	}
+}
+
+func TestDrain(t *testing.T) {
+	started, hold := make(chan struct{}, 1), make(chan struct{})
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { started <- struct{}{}; <-hold; return "OK", "r" })
+	s := serveNode(t, rt)
+	b := standin.Dial(t, s.address)
+	b.Do(1, "slot-search", req(1), time.Now(), "a", "")
+	<-started
+	s.stop <- syscall.SIGTERM
+	if got := b.Read(); strings.Join(got, " ") != "0 FIN" {
+		t.Fatalf("got %q, want 0 FIN", got)
+	}
+	// It reached the machine after the grace, by its time stamp: it must not run, and be answered.
+	time.Sleep(150 * time.Millisecond)
+	b.Do(2, "book", req(2), time.Now(), "late", ",opkey=k2")
+	if got := b.Read(); len(got) < 2 || got[0] != "2" || got[1] == "ACK" {
+		t.Errorf("after the grace: %q", got)
+	}
+	close(hold)
+	if got := b.Read(); len(got) < 2 || got[0] != "1" || got[1] != "ACK" {
+		t.Errorf("in hand at the notice: %q", got)
+	}
+	if rt.Runs("late") != 0 {
+		t.Error("ran what came too late")
+	}
+	b.Close()
+	select {
+	case err := <-s.stopped:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(standin.Patience):
+		t.Error("not stopped")
+	}
+}
+
+func TestCrowd(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { time.Sleep(time.Millisecond); return "OK", "r" })
+	s := serveNode(t, rt)
+	const conns, each = 20, 32
+	var wg sync.WaitGroup
+	for i := range conns {
+		b := standin.Dial(t, s.address)
+		wg.Go(func() {
+			for j := range each {
+				b.Do(j+1, "book", req(1+i*each+j), time.Now(), "a", ",opkey="+req(1+i*each+j))
+			}
+			seen := map[string]bool{}
+			for range each {
+				got := b.Read()
+				if len(got) < 2 || seen[got[0]] {
+					t.Errorf("answer %q, seen before %v", got, len(got) > 0)
+					return
+				}
+				seen[got[0]] = true
+			}
+			only(t, b, "999")
+		})
+	}
+	wg.Wait()
+	if most := rt.Most(); most > 10 {
+		t.Errorf("%d runs at once on 2 cores that survive 10", most)
+	}
+	if got := s.front.Open(); got > conns {
+		t.Errorf("%d connections open", got)
+	}
+}
+
+func TestBadInputCostsItsOwnConnection(t *testing.T) {
+	hold := make(chan struct{})
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { <-hold; return "OK", "r" })
+	s := serveNode(t, rt)
+	other := standin.Dial(t, s.address)
+	other.Do(1, "slot-search", req(1), time.Now(), "a", "")
+	ends := []string{"PING\r\n", "*1\r\n$9223372036854775807\r\n", "*9999999999\r\n", "*-1\r\n", "\x00\x00\x00",
+		standin.Array("PING"), standin.Array("DO", "0", "book"), standin.Array("DO", "1", "book", "req=1", "")}
+	var spoilt []*standin.Balancer
+	for i, bad := range ends {
+		b := standin.Dial(t, s.address)
+		// What came whole in the same packet before the bad bytes was read and is owed an answer.
+		fields := fmt.Sprintf("req=%s,ts=%d", req(10+i), time.Now().UnixMilli())
+		b.Send(standin.Array("DO", "1", "slot-search", fields, "b") + bad)
+		spoilt = append(spoilt, b)
+	}
+	refused := standin.Dial(t, s.address)
+	refused.Send(standin.Array("DO", "5", "no-such-class", "req="+req(90)+",ts=1764576000123", "") + standin.Array("GET", "6"))
+	if got := refused.Read(); len(got) < 2 || got[0] != "5" || got[1] != "NAK" {
+		t.Errorf("an unknown class got %q", got)
+	}
+	only(t, refused, "7")
+	close(hold)
+	for i, b := range spoilt {
+		if got := b.Read(); len(got) < 2 || got[0] != "1" {
+			t.Errorf("%q: lost the request before it, got %q", ends[i], got)
+		}
+		if got := b.Read(); got != nil {
+			t.Errorf("%q: not closed, got %q", ends[i], got)
+		}
+	}
+	if got := other.Read(); len(got) < 2 || got[0] != "1" {
+		t.Errorf("another connection got %q", got)
+	}
+	only(t, other, "2")
+}
+
+// ask sends one uwsgi request and reads the whole response.
+func ask(t testing.TB, address string, body string, vars ...[2]string) string {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	defer conn.Close()
+	vars = append(vars, [2]string{"CONTENT_LENGTH", fmt.Sprint(len(body))})
+	packet, err := uwsgi.AppendPacket(nil, vars, []byte(body))
+	if err != nil {
+		t.Error(err)
+	}
+	half := len(packet) / 2
+	for _, part := range [][]byte{packet[:half], packet[half:]} { // in fragments
+		if _, err := conn.Write(part); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(standin.Patience)); err != nil {
+		t.Error(err)
+	}
+	response, err := io.ReadAll(conn)
+	if err != nil {
+		t.Error(err)
+	}
+	return string(response)
+}
+
+func get(path string) [][2]string {
+	return [][2]string{{"REQUEST_METHOD", "GET"}, {"PATH_INFO", path}}
+}
+
+func post(key string) [][2]string {
+	return [][2]string{{"REQUEST_METHOD", "POST"}, {"PATH_INFO", "/book"}, {"HTTP_IDEMPOTENCY_KEY", key}}
+}
+
+// TestMixedSurge sends both protocols at 120% of what the stand-ins can do.
+func TestMixedSurge(t *testing.T) {
+	const work, asked = 10 * time.Millisecond, 240 // two cores do 200 a second; 240 come in a second
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { time.Sleep(work); return "OK", string(j.Body) })
+	server := standin.NewServer(t, func(body string) string {
+		time.Sleep(work)
+		return "HTTP/1.1 200 OK\r\nContent-Length: " + fmt.Sprint(len(body)) + "\r\n\r\n" + body
+	})
+	s := serveNode(t, rt, server.Address)
+	var wg sync.WaitGroup
+	answered := make(chan string, asked)
+	balancers := make([]*standin.Balancer, 4)
+	for i := range balancers {
+		b := standin.Dial(t, s.address)
+		balancers[i] = b
+		wg.Go(func() {
+			for range asked / 2 / len(balancers) {
+				if got := b.Read(); len(got) >= 2 {
+					answered <- got[1]
+				}
+			}
+		})
+	}
+	for i := range asked {
+		time.Sleep(time.Second / asked)
+		key := surgeKey(i)
+		if i%2 == 1 {
+			wg.Go(func() { answered <- strings.SplitN(ask(t, s.uwsgi, key, post(key)...), "\r\n", 2)[0] })
+			continue
+		}
+		balancers[i/2%len(balancers)].Do(i+1, "book", req(i+1), time.Now(), key, ",opkey="+key)
+	}
+	wg.Wait()
+	close(answered)
+	words := map[string]int{}
+	for word := range answered {
+		words[word]++
+	}
+	total := words["ACK"] + words["NAK"] + words["FAIL"] + words["HTTP/1.1 200 OK"] +
+		words["HTTP/1.1 503 Service Unavailable"] + words["HTTP/1.1 502 Bad Gateway"] + words["HTTP/1.1 504 Gateway Timeout"]
+	if total != asked {
+		t.Errorf("%d of %d answered: %v", total, asked, words)
+	}
+	if words["ACK"] == 0 || words["HTTP/1.1 200 OK"] == 0 {
+		t.Errorf("a protocol was starved: %v", words)
+	}
+	for i := range asked {
+		key := surgeKey(i)
+		if n := rt.Runs(key) + server.Runs(key); n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
+
+// surgeKey asks for each booking twice by one protocol, and for every eighth by both: still it may run only once.
+func surgeKey(i int) string {
+	if i/4%8 == 0 {
+		return fmt.Sprintf("both%d", i/4)
+	}
+	return fmt.Sprintf("k%d-%d", i/4, i%2)
+}
