--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,245 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/gate"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/standin"
+	"sloehitch/logic"
+)
+
+// clock stands still until it is moved.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// recorder is a runner that notes what it was asked for.
+type recorder struct{ asked []string }
+
+func (r *recorder) note(what, id string)                 { r.asked = append(r.asked, what+" "+id) }
+func (r *recorder) Start(id, _ string, _ []byte, _ bool) { r.note("start", id) }
+func (r *recorder) Stop(id string)                       { r.note("stop", id) }
+func (r *recorder) Continue(id string)                   { r.note("continue", id) }
+func (r *recorder) Give(id string, _ []byte)             { r.note("give", id) }
+func (r *recorder) Omit(id string, _ uint64)             { r.note("omit", id) }
+func (r *recorder) String() string                       { return strings.Join(r.asked, ", ") }
+func (r *recorder) Quit(id string)                       { r.note("quit", id) }
+func (r *recorder) Call(id string, _ time.Duration, _ []byte, done func(gate.Outcome, time.Duration, []byte)) {
+	r.note("call", id)
+}
+
+// bench is a node whose decisions a test makes itself: Serve is not running, and the module's word is ignored.
+type bench struct {
+	*Node
+	clock   *clock
+	work    *recorder
+	answers map[string][]string
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	cfg := logic.Settings{Cores: 2, MemoryKB: 1e6, CrowdFactor: 5, AnswerGrace: 80000, DrainGrace: 2000000, Classes: []logic.Class{
+		{Name: "read", Aim: 1e6, Deadline: 60e6, Worth: 1},
+		{Name: "book", Aim: 1e6, Deadline: 60e6, Worth: 3, Effect: logic.Keyed, Window: 10e6}}}
+	c := &clock{now: time.UnixMilli(1764576000000)}
+	g, err := gate.New(cfg, gate.Options{Now: c.Now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Close()
+	r := &recorder{}
+	return &bench{New(Options{Settings: cfg, Gate: g, Caller: r, Clock: c, Limits: limits.For(64, 256), Log: standin.Quiet}), c, r, map[string][]string{}}
+}
+
+func (b *bench) submit(id string, class int, key string, at time.Duration) {
+	b.Submit(Request{ID: id, Class: class, Key: key, Arrived: b.clock.now.Add(at), Runner: b.work},
+		func(a Answer) {
+			b.answers[id] = append(b.answers[id], fmt.Sprint([]string{"served", "refused", "failed"}[a.Kind], " ", string(a.Result)))
+		})
+}
+
+// decide plays the module.
+func (b *bench) decide(id string, v gate.Verb) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.byID[id]; r != nil {
+		b.carryOut(r, gate.Decision{Verb: v, ID: r.num})
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	const book = 1
+	for _, c := range []struct {
+		name string
+		play func(b *bench)
+		work string // what the runner was asked for
+		want string // the answers of a, b and c
+	}{
+		{"served", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.Ended("a", logic.OK, 0, []byte("r"))
+		}, "start a", "[served r] [] []"},
+		{"an end that comes twice", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.Ended("a", logic.OK, 0, []byte("r"))
+			b.Ended("a", logic.OK, 0, []byte("s"))
+		}, "start a", "[served r] [] []"},
+		{"answered, then its run ends", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.decide("a", gate.Fail)
+			b.Ended("a", logic.OK, 0, []byte("r"))
+		}, "start a", "[failed ] [] []"},
+		{"gone while held, then run", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.Gone("a")
+			b.decide("a", gate.Run)
+		}, "", "[] [] []"},
+		{"the same id twice", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+		}, "start a", "[refused ] [] []"},
+		{"a keyed request without a key", func(b *bench) {
+			b.submit("a", book, "", 0)
+			b.decide("a", gate.Run)
+		}, "", "[refused ] [] []"},
+		{"a second try run by mistake joins the first", func(b *bench) {
+			b.submit("a", book, "k", 0)
+			b.submit("b", book, "k", 0)
+			b.decide("a", gate.Run)
+			b.decide("b", gate.Run)
+			b.Ended("a", logic.OK, 0, []byte("r"))
+		}, "start a", "[served r] [served r] []"},
+		{"a try that is refused after its forerunner ran is failed", func(b *bench) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			b.Ended("a", logic.Failed, 0, nil)
+			b.submit("b", book, "k", 0)
+			b.decide("b", gate.Refuse)
+		}, "start a", "[failed ] [failed ] []"},
+		{"the key is free once a try was refused unrun", func(b *bench) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Refuse)
+			b.submit("b", book, "k", 0)
+			b.decide("b", gate.Run)
+		}, "start b", "[refused ] [] []"},
+		{"one that waits for a try that never ran runs itself", func(b *bench) {
+			b.submit("a", book, "k", 0)
+			b.submit("b", book, "k", 0)
+			b.decide("b", gate.Join)
+			b.decide("a", gate.Refuse)
+			b.decide("b", gate.Run)
+		}, "start b", "[refused ] [] []"},
+		{"a run that was moot leaves the key to the next", func(b *bench) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			b.Ended("a", logic.Moot, 0, nil)
+			b.submit("b", book, "k", 0)
+			b.decide("b", gate.Run)
+		}, "start a, start b", "[failed ] [] []"},
+		{"the window counts from the time stamp of the try that ran", func(b *bench) {
+			b.submit("a", book, "k", -5*time.Second)
+			b.decide("a", gate.Run)
+			b.Ended("a", logic.OK, 0, []byte("r"))
+			b.clock.now = b.clock.now.Add(4900 * time.Millisecond)
+			b.submit("b", book, "k", 0) // 9.9 s after it: joins
+			b.decide("b", gate.Run)
+			b.clock.now = b.clock.now.Add(time.Second)
+			b.Sweep()
+			b.submit("c", book, "k", 0) // 10.9 s after it: a new request
+			b.decide("c", gate.Run)
+		}, "start a, start c", "[served r] [served r] []"},
+		{"a try read late belongs to when it came", func(b *bench) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			b.Ended("a", logic.OK, 0, []byte("r"))
+			b.clock.now = b.clock.now.Add(11 * time.Second)
+			b.Sweep()
+			b.submit("b", book, "k", -2*time.Second)
+			b.decide("b", gate.Run)
+		}, "start a", "[served r] [served r] []"},
+		{"too late after the notice to leave", func(b *bench) {
+			b.Leave(time.Minute)
+			b.clock.now = b.clock.now.Add(3 * time.Second)
+			b.submit("a", 0, "", -1500*time.Millisecond)
+			b.submit("b", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.decide("b", gate.Run)
+		}, "start a", "[] [refused ] []"},
+		{"all is answered before the kill", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.submit("b", book, "k", 0)
+			b.submit("c", book, "l", 0)
+			b.decide("b", gate.Run)
+			b.Gone("c")
+			b.Leave(time.Minute)
+			b.answerAll()
+		}, "start b", "[refused ] [failed ] []"},
+		{"a call whose request is over is given up", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.Wants("a", 3, nil)
+			b.decide("a", gate.Call)
+			b.Ended("a", logic.Cancelled, 0, nil)
+		}, "start a, call a, quit a", "[failed ] [] []"},
+		{"a call left out", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.decide("a", gate.GoOn) // it stands at no call yet
+			b.Wants("a", 3, nil)
+			b.decide("a", gate.GoOn)
+			b.decide("a", gate.Call)
+		}, "start a, omit a", "[] [] []"},
+		{"paused and taken up again", func(b *bench) {
+			b.submit("a", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.decide("a", gate.Stop)
+			b.decide("a", gate.Run)
+			b.decide("a", gate.Run)
+		}, "start a, stop a, continue a", "[] [] []"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			c.play(b)
+			if got := b.work.String(); got != c.work {
+				t.Errorf("work: %s; want %s", got, c.work)
+			}
+			if got := fmt.Sprint(b.answers["a"], " ", b.answers["b"], " ", b.answers["c"]); got != c.want {
+				t.Errorf("answers: %s; want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// TestTablesAreBounded: neither a crowd of requests nor one of keys may take more than its limit.
+func TestTablesAreBounded(t *testing.T) {
+	b := newBench(t)
+	b.opts.Limits.Requests, b.keys.most = 3, 2
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		b.submit(id, 1, "k"+id, 0)
+		b.decide(id, gate.Run)
+	}
+	if got := b.work.String(); got != "start 0, start 1" || len(b.byNum) != 2 {
+		t.Errorf("%s, %d in hand; want two, as there is room for two keys", got, len(b.byNum))
+	}
+	for i := range 5 {
+		b.submit(fmt.Sprint("r", i), 0, "", 0)
+	}
+	if len(b.byNum) != 3 || b.open != 3 {
+		t.Errorf("%d in hand, %d owed; want 3", len(b.byNum), b.open)
+	}
+	b.clock.now = b.clock.now.Add(time.Hour)
+	b.Sweep() // runs whose end was never told
+	b.Sweep()
+	if c, hand, keys := b.Totals(); hand != 0 || keys != 0 || c.Read != 10 {
+		t.Errorf("after an hour: %d in hand, %d keys, %+v", hand, keys, c)
+	}
+}
--- /dev/null
+++ b/internal/runtime/link_test.go
@@ -0,0 +1,103 @@
+package runtime
+
+import (
+	"testing"
+	"time"
+
+	"sloehitch/internal/gate"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/standin"
+	"sloehitch/logic"
+)
+
+type end struct {
+	id     string
+	o      gate.Outcome
+	result string
+}
+
+type events struct {
+	ends  chan end
+	wants chan uint64
+}
+
+func (e *events) Ended(id string, o gate.Outcome, _ time.Duration, result []byte) {
+	e.ends <- end{id, o, string(result)}
+}
+func (e *events) Wants(_ string, pos uint64, _ []byte) { e.wants <- pos }
+
+func open(t *testing.T, rt *standin.Runtime) (*Link, *events) {
+	e := &events{make(chan end, 16), make(chan uint64, 16)}
+	l := New(Options{Address: rt.Address, Meters: []string{"core_use", "on_cores"}, Limits: limits.For(64, 256),
+		Log: standin.Quiet, Gauges: func(gate.Gauges) {}})
+	go l.Serve(e)
+	t.Cleanup(l.Close)
+	return l, e
+}
+
+func TestRunsAndCalls(t *testing.T) {
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) {
+		if j.Lane == "calls" {
+			return "OK", string(j.Call("please"))
+		}
+		return map[string]string{"good": "OK", "bad": "ERROR", "odd": "NEW"}[j.Lane], "r"
+	})
+	l, e := open(t, rt)
+	for _, c := range []struct {
+		lane string
+		o    gate.Outcome
+	}{{"good", logic.OK}, {"bad", logic.Failed}, {"odd", logic.Failed}} {
+		l.Start(c.lane, c.lane, []byte("a\nb"), false)
+		if got := <-e.ends; got.id != c.lane || got.o != c.o {
+			t.Errorf("%s: %+v, want %v", c.lane, got, c.o)
+		}
+	}
+	l.Start("x", "calls", nil, true)
+	<-e.wants
+	l.Give("x", []byte("reply"))
+	if got := <-e.ends; got.result != "reply" {
+		t.Errorf("result %q, want the reply as it was given", got.result)
+	}
+}
+
+// TestResume breaks the link while runs are on: no notice is lost or taken twice, nothing runs twice.
+func TestResume(t *testing.T) {
+	hold := make(chan struct{})
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { <-hold; return "OK", j.UID })
+	l, e := open(t, rt)
+	if pos := <-rt.Syncs; pos != 0 {
+		t.Errorf("first sync from %d", pos)
+	}
+	l.Start("a", "book", []byte("a"), true)
+	l.Start("b", "slot-search", []byte("b"), false)
+	for rt.Runs("a")+rt.Runs("b") < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	rt.Cut()
+	close(hold)
+	l.Start("c", "book", []byte("c"), true) // asked for with or without a link
+	<-rt.Syncs
+	seen := map[string]int{}
+	for range 3 {
+		seen[(<-e.ends).id]++
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		if seen[id] != 1 || rt.Runs(id) != 1 {
+			t.Errorf("%s: ended %d times, ran %d times", id, seen[id], rt.Runs(id))
+		}
+	}
+	rt.Cut()
+	if pos := <-rt.Syncs; pos != 3 {
+		t.Errorf("resumed from %d, want 3", pos)
+	}
+}
+
+func TestTakeRefusesGarbage(t *testing.T) {
+	for _, line := range []string{"", "{", "[]", `{"action":"wants","pos":1,"content":"%"}`, `{"pos":-1}`} {
+		l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet})
+		l.events = &events{}
+		if l.take([]byte(line)) == nil {
+			t.Errorf("%q was taken", line)
+		}
+	}
+}
