--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/standin"
+)
+
+func TestParse(t *testing.T) {
+	fine := standin.Config("127.0.0.1:4100", "127.0.0.1:6100", "")
+	for _, c := range []struct{ name, text, wrong string }{
+		{"fine", fine, ""},
+		{"unknown members", strings.Replace(fine, `"name"`, `"new":{"a":[1]},"name"`, 1), ""},
+		{"not JSON", "{", "unexpected end"},
+		{"no settings", `{"name":"n1","listen":"127.0.0.1:1"}`, "settings"},
+		{"no name", strings.Replace(fine, `"n1"`, `""`, 1), "name"},
+		{"no port", strings.Replace(fine, ":4100", "", 1), "listen"},
+		{"bad runtime", strings.Replace(fine, ":6100", "", 1), "runtime"},
+		{"no memory", strings.Replace(fine, `"memory_mb":64`, `"memory_mb":0`, 1), "memory_mb"},
+		{"no cores", strings.Replace(fine, `"cores":2`, `"cores":0`, 1), "cores"},
+		{"unknown semantics", strings.Replace(fine, "dedup", "maybe", 1), "semantics"},
+		{"negative stop", strings.Replace(fine, `"stop_ms":3000`, `"stop_ms":-1`, 1), "stop_ms"},
+	} {
+		p, err := Parse([]byte(c.text))
+		if (err == nil) != (c.wrong == "") || err != nil && !strings.Contains(err.Error(), c.wrong) {
+			t.Errorf("%s: %v, want an error on %q", c.name, err, c.wrong)
+		}
+		if err == nil && (p.Stop() != 3*time.Second || p.Caps.Sockets != 256 || len(p.Logic.Classes) != 2) {
+			t.Errorf("%s: %+v", c.name, p)
+		}
+	}
+}
+
+func TestParseDeploy(t *testing.T) {
+	const on = "[uwsgi]\nlisten = \"127.0.0.1:3030\"\nservers = [\"127.0.0.1:3031\"]\nopenapi = \"api.yaml\"\n"
+	for _, c := range []struct{ name, text, wrong string }{
+		{"empty", "", ""},
+		{"off", "[uwsgi]\nlisten = \"\"\n", ""},
+		{"on", on, ""},
+		{"misspelt", "[uwsgi]\nlisen = \"\"\n", "strict"},
+		{"not TOML", "[uwsgi", "toml"},
+		{"no servers", strings.Replace(on, "[\"127.0.0.1:3031\"]", "[]", 1), "servers"},
+		{"no description", strings.Replace(on, "api.yaml", "", 1), "openapi"},
+		{"bad server", strings.Replace(on, ":3031", "", 1), "port"},
+	} {
+		if _, err := ParseDeploy([]byte(c.text)); (err == nil) != (c.wrong == "") || err != nil && !strings.Contains(err.Error(), c.wrong) {
+			t.Errorf("%s: %v, want an error on %q", c.name, err, c.wrong)
+		}
+	}
+}
+
+func TestLoadDeploy(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "sloehitch.toml")
+	if d, err := LoadDeploy(path); err != nil || d.Uwsgi.Listen != "" {
+		t.Errorf("no file: %+v, %v; want everything off", d, err)
+	}
+	text := "[uwsgi]\nlisten = \"127.0.0.1:3030\"\nservers = [\"127.0.0.1:3031\"]\nopenapi = \"api.yaml\"\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadDeploy(path); err == nil {
+		t.Error("no error though the description is missing")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "api.yaml"), []byte("openapi"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if d, err := LoadDeploy(path); err != nil || string(d.OpenAPI) != "openapi" {
+		t.Errorf("%+v, %v", d, err)
+	}
+	// What stands in the repository must keep the second front off on the platform.
+	if d, err := LoadDeploy("../../deploy/sloehitch.toml"); err != nil || d.Uwsgi.Listen != "" {
+		t.Errorf("deploy/sloehitch.toml: %+v, %v", d, err)
+	}
+}
