--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,159 @@
+package store
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/standin"
+)
+
+func waitFor(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(standin.Patience); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("waited in vain for " + what)
+		}
+	}
+}
+
+// group is some members on loopback, each with its operators' address.
+type group struct {
+	members []Member
+	stores  map[string]*Store
+}
+
+func (g *group) open(t *testing.T, name, dir string) *Store {
+	t.Helper()
+	s, err := Open(Options{Name: name, Members: g.members, Dir: dir, Timeout: standin.Patience, Beat: 200 * time.Millisecond, Log: standin.Quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.stores[name] = s
+	return s
+}
+
+func newGroup(t *testing.T, size int) *group {
+	t.Helper()
+	g := &group{stores: map[string]*Store{}}
+	var admins []*httptest.Server
+	for i := range size {
+		ln := standin.Listen(t)
+		ln.Close()
+		admin := httptest.NewUnstartedServer(nil)
+		admins = append(admins, admin)
+		g.members = append(g.members, Member{fmt.Sprint("n", i), ln.Addr().String(), admin.Listener.Addr().String()})
+	}
+	for i, m := range g.members {
+		admins[i].Config.Handler = g.open(t, m.Name, "").Handler()
+		admins[i].Start()
+	}
+	t.Cleanup(func() {
+		for _, a := range admins {
+			a.Close()
+		}
+		for _, s := range g.stores {
+			s.Close()
+		}
+	})
+	return g
+}
+
+func (g *group) leader(t *testing.T) (leader Member) {
+	t.Helper()
+	waitFor(t, "one leader", func() bool {
+		names := map[string]int{}
+		for _, s := range g.stores {
+			if m, known := s.Leader(); known && g.stores[m.Name] != nil {
+				leader = m
+				names[m.Name]++
+			}
+		}
+		return len(names) == 1 && names[leader.Name] == len(g.stores)
+	})
+	return leader
+}
+
+func (g *group) all(t *testing.T, key, value string) {
+	t.Helper()
+	waitFor(t, key+"="+value+" on all members", func() bool {
+		for _, s := range g.stores {
+			if s.Get(key) != value {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestMembersAgree(t *testing.T) {
+	g := newGroup(t, 3)
+	g.leader(t)
+	for i, m := range g.members { // asked of any member, a change reaches the leader
+		value := fmt.Sprintf("127.0.0.1:%d", 3000+i)
+		waitFor(t, "a change through "+m.Name, func() bool { return Client{m.Admin, standin.Patience}.Set(UwsgiServers, value) == nil })
+		g.all(t, UwsgiServers, value)
+	}
+	old := g.leader(t)
+	if err := g.stores[old.Name].Close(); err != nil {
+		t.Error(err)
+	}
+	delete(g.stores, old.Name)
+	next := g.leader(t)
+	waitFor(t, "a change after the leader died", func() bool { return g.stores[next.Name].Set(Closed, "true") == nil })
+	g.all(t, Closed, "true")
+	if got, err := (Client{next.Admin, standin.Patience}).All(); err != nil || got[Closed] != "true" || len(got) != 2 {
+		t.Errorf("state %v, %v", got, err)
+	}
+}
+
+func TestStateOutlivesARestart(t *testing.T) {
+	ln := standin.Listen(t)
+	ln.Close()
+	g := &group{members: []Member{{Name: "n0", Raft: ln.Addr().String()}}, stores: map[string]*Store{}}
+	dir := t.TempDir()
+	s := g.open(t, "n0", dir)
+	g.leader(t)
+	if err := s.Set(Closed, "true"); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.raft.Snapshot().Error(); err != nil {
+		t.Error(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	s = g.open(t, "n0", dir)
+	g.all(t, Closed, "true")
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAlone(t *testing.T) {
+	s, err := Open(Options{Name: "n0", Log: standin.Quiet})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seen []string
+	s.Watch(func(key, value string) { seen = append(seen, key+"="+value) })
+	for _, c := range []struct {
+		key, value string
+		ok         bool
+	}{
+		{Closed, "true", true}, {Closed, "true", true}, {Closed, "", true}, {Closed, "maybe", false},
+		{UwsgiServers, "127.0.0.1:1, 127.0.0.1:2", true}, {UwsgiServers, "127.0.0.1", false}, {"other", "x", false},
+	} {
+		if err := s.Set(c.key, c.value); (err == nil) != c.ok {
+			t.Errorf("%s=%s: %v", c.key, c.value, err)
+		}
+	}
+	if got := strings.Join(seen, " "); got != "closed=true closed= uwsgi-servers=127.0.0.1:1, 127.0.0.1:2" {
+		t.Errorf("watched %s", got)
+	}
+	if _, err := Open(Options{Name: "n9", Members: []Member{{Name: "n0", Raft: "127.0.0.1:0"}}, Log: standin.Quiet}); err == nil {
+		t.Error("opened by no member")
+	}
+}
