--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -5,13 +5,17 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"runtime/debug"
+	"slices"
 
 	"github.com/alecthomas/kong"
 
 	"sloehitch/internal/config"
 	"sloehitch/internal/describe"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/store"
 )
 
 // version is the product's; the changelog says what each one brought.
@@ -20,6 +24,7 @@
 var cli struct {
 	Serve   serveCmd   `cmd:"" help:"Serve until told to stop."`
 	Check   checkCmd   `cmd:"" help:"Check a configuration and say what it would do."`
+	State   stateCmd   `cmd:"" help:"Show or change the operators' state, on all members of the store."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
@@ -73,6 +78,36 @@
 	return nil
 }
 
+type stateCmd struct {
+	Admin string       `help:"Address that a daemon has for operators." required:""`
+	Show  stateShowCmd `cmd:"" help:"Print all that is set."`
+	Set   stateSetCmd  `cmd:"" help:"Set a key; an empty value clears it."`
+}
+
+func (c *stateCmd) client() store.Client {
+	return store.Client{Address: c.Admin, Timeout: limits.For(0, 0).Agree}
+}
+
+type stateShowCmd struct{}
+
+func (stateShowCmd) Run(_ *slog.Logger) error {
+	values, err := cli.State.client().All()
+	if err != nil {
+		return err
+	}
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		fmt.Printf("%s=%s\n", key, values[key])
+	}
+	return nil
+}
+
+type stateSetCmd struct {
+	Key   string `arg:"" help:"closed (names of nodes out of service) or uwsgi-servers (addresses)."`
+	Value string `arg:"" optional:""`
+}
+
+func (c *stateSetCmd) Run(_ *slog.Logger) error { return cli.State.client().Set(c.Key, c.Value) }
+
 type versionCmd struct{}
 
 func (versionCmd) Run(_ *slog.Logger) error {
--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"sloehitch/internal/describe"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/standin"
+	"sloehitch/internal/store"
 	"sloehitch/internal/uwsgi"
 )
 
@@ -225,6 +227,61 @@
 	only(t, other, "2")
 }
 
+// TestOperatorsState: what operators set takes a node out of service and gives uwsgi work to other servers.
+func TestOperatorsState(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	first := standin.NewServer(t, func(string) string { return "HTTP/1.1 200 OK\r\n\r\nfirst" })
+	second := standin.NewServer(t, func(string) string { return "HTTP/1.1 200 OK\r\n\r\nsecond" })
+	s := serveNode(t, rt, first.Address)
+	b := standin.Dial(t, s.address)
+	for _, c := range []struct{ closed, servers, health, response string }{
+		{"", "", "GREEN", "first"}, {"n2,n1", second.Address, "RED", "second"}, {"n2", "", "GREEN", "first"},
+	} {
+		if err := errors.Join(s.store.Set(store.Closed, c.closed), s.store.Set(store.UwsgiServers, c.servers)); err != nil {
+			t.Fatal(err)
+		}
+		b.Send(standin.Array("PING", "1", ""))
+		if got := b.Read(); len(got) < 2 || got[1] != c.health {
+			t.Errorf("closed %q: health %q", c.closed, got)
+		}
+		if got := ask(t, s.uwsgi, "", get("/slots")...); !strings.HasSuffix(got, c.response) {
+			t.Errorf("servers %q: response %q", c.servers, got)
+		}
+	}
+}
+
+// TestUwsgiRefusalsAndErrors: the second front keeps the first rule with the answers of its own protocol.
+func TestUwsgiRefusalsAndErrors(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	hold := make(chan struct{})
+	server := standin.NewServer(t, func(body string) string {
+		if body == "hang" {
+			<-hold
+		}
+		return map[string]string{"fine": "HTTP/1.1 200 OK\r\n\r\nok", "cut": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"}[body]
+	})
+	defer close(hold)
+	s := serveNode(t, rt, server.Address)
+	for _, c := range []struct{ key, body, want string }{
+		{"1", "fine", "HTTP/1.1 200 OK"}, {"1", "fine", "HTTP/1.1 200 OK"}, {"2", "cut", "HTTP/1.1 502 Bad Gateway"},
+		{"2", "cut", "HTTP/1.1 502 Bad Gateway"}, {"", "fine", "HTTP/1.1 400 Bad Request"}, {"3", "hang", "HTTP/1.1 504 Gateway Timeout"},
+	} {
+		if got := ask(t, s.uwsgi, c.body, post(c.key)...); !strings.HasPrefix(got, c.want+"\r\n") {
+			t.Errorf("key %q, %s: %q, want %s", c.key, c.body, got, c.want)
+		}
+	}
+	for _, body := range []string{"fine", "cut", "hang"} {
+		if n := server.Runs(body); n != 1 {
+			t.Errorf("%s ran %d times", body, n)
+		}
+	}
+	s.node.Leave(time.Minute) // what comes later than the grace is refused, and told when to come back
+	time.Sleep(150 * time.Millisecond)
+	if got := ask(t, s.uwsgi, "fine", post("4")...); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "\r\nRetry-After: 1\r\n") {
+		t.Errorf("leaving: %q", got)
+	}
+}
+
 // ask sends one uwsgi request and reads the whole response.
 func ask(t testing.TB, address string, body string, vars ...[2]string) string {
 	conn, err := net.Dial("tcp", address)
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"errors"
 	"hash/fnv"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +22,7 @@
 	"sloehitch/internal/node"
 	"sloehitch/internal/resp"
 	"sloehitch/internal/runtime"
+	"sloehitch/internal/store"
 	"sloehitch/internal/uwsgi"
 )
 
@@ -56,9 +61,21 @@
 	uwsgi     *uwsgi.Front // nil where it is off
 	listeners []net.Listener
 	pulse     *directory.Pulse
+	store     *store.Store
+	servers   *uwsgi.Servers // nil where uwsgi is off
+	closed    atomic.Bool    // out of service by the operators' word
 	failed    chan error
 }
 
+// standing is what callers are told of the node: the module's word, and the operators'.
+type standing struct {
+	*gate.Gate
+	closed *atomic.Bool
+}
+
+// Well is what health checks are to hear.
+func (s standing) Well() bool { return !s.closed.Load() && s.Gate.Well() }
+
 // start wires the parts and sets them going.
 func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
 	p := l.platform
@@ -81,7 +98,7 @@
 		options.Caller = catalogue.New(p.Catalog, lim, log)
 	}
 	d.node = node.New(options)
-	d.front = resp.New(resp.Options{Core: d.node, Standing: g, Runner: link, Classes: p.Names.Classes,
+	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed}, Runner: link, Classes: p.Names.Classes,
 		Tenants: p.Names.Tenants, Limits: lim, Log: log})
 	if link != nil { // without a runtime nothing could run what balancers send
 		ln, err := d.listen(p.Listen)
@@ -94,6 +111,9 @@
 	if err := d.startUwsgi(l); err != nil {
 		return nil, err
 	}
+	if err := d.startStore(l); err != nil {
+		return nil, err
+	}
 	go d.node.Serve()
 	if p.Lookup != "" {
 		go func() {
@@ -125,13 +145,57 @@
 	if err != nil {
 		return err
 	}
-	servers := uwsgi.NewServers(u.Servers, d.limits, d.log)
-	servers.Serve(d.node)
-	d.uwsgi = uwsgi.New(uwsgi.Options{Core: d.node, Mapper: l.operations, Runner: servers, Limits: d.limits, Log: d.log})
+	d.servers = uwsgi.NewServers(u.Servers, d.limits, d.log)
+	d.servers.Serve(d.node)
+	d.uwsgi = uwsgi.New(uwsgi.Options{Core: d.node, Mapper: l.operations, Runner: d.servers, Limits: d.limits, Log: d.log})
 	go func() { d.failed <- d.uwsgi.Serve(ln) }()
 	return nil
 }
 
+// startStore opens this daemon's copy of the store, follows it and lets operators at it.
+func (d *daemon) startStore(l *loaded) (err error) {
+	c := l.deploy.Store
+	d.store, err = store.Open(store.Options{Name: d.platform.Name, Members: c.Members, Dir: c.Dir, Timeout: d.limits.Agree,
+		Beat: d.limits.Beat, Log: d.log})
+	if err != nil {
+		return err
+	}
+	d.store.Watch(func(key, value string) { d.follow(l, key, value) })
+	if c.Admin == "" {
+		return nil
+	}
+	ln, err := d.listen(c.Admin)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: d.store.Handler(), ReadTimeout: d.limits.Agree, WriteTimeout: 2 * d.limits.Agree}
+	go func() {
+		if err := server.Serve(ln); !errors.Is(err, net.ErrClosed) {
+			d.failed <- err
+		}
+	}()
+	return nil
+}
+
+// follow does what a change of the store means here.
+func (d *daemon) follow(l *loaded, key, value string) {
+	switch key {
+	case store.Closed:
+		closed := slices.Contains(store.Items(value), d.platform.Name)
+		d.closed.Store(closed)
+		d.pulse.Close(closed)
+	case store.UwsgiServers:
+		if d.servers == nil {
+			return
+		}
+		if addresses := store.Items(value); len(addresses) > 0 {
+			d.servers.Use(addresses)
+		} else {
+			d.servers.Use(l.deploy.Uwsgi.Servers)
+		}
+	}
+}
+
 // run serves until the notice to leave has been carried out.
 func (d *daemon) run(stop <-chan os.Signal) error {
 	sweep := time.NewTicker(d.limits.Sweep)
@@ -145,7 +209,7 @@
 			d.front.Sweep()
 		case <-stop:
 			d.leave()
-			return nil
+			return d.store.Close()
 		}
 	}
 }
@@ -156,7 +220,7 @@
 	kill := time.After(d.platform.Stop() - d.limits.KillSpare/2)
 	d.log.Info("leaving", "stop", d.platform.Stop())
 	owed := d.node.Leave(d.platform.Stop())
-	d.pulse.Leave()
+	d.pulse.Close(true)
 	for _, ln := range d.listeners {
 		ln.Close() // a refused connection proves that nothing ran
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,6 +45,9 @@
 		{"not TOML", "[uwsgi", "toml"},
 		{"no servers", strings.Replace(on, "[\"127.0.0.1:3031\"]", "[]", 1), "servers"},
 		{"no description", strings.Replace(on, "api.yaml", "", 1), "openapi"},
+		{"members", "[store]\nadmin = \"127.0.0.1:1\"\n[[store.members]]\nname = \"n1\"\nraft = \"127.0.0.1:2\"\n", ""},
+		{"nameless member", "[[store.members]]\nraft = \"127.0.0.1:2\"\n", "name"},
+		{"bad admin", "[store]\nadmin = \"127.0.0.1\"\n", "port"},
 		{"bad server", strings.Replace(on, ":3031", "", 1), "port"},
 	} {
 		if _, err := ParseDeploy([]byte(c.text)); (err == nil) != (c.wrong == "") || err != nil && !strings.Contains(err.Error(), c.wrong) {
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"sloehitch/internal/store"
 )
 
 // Uwsgi says where the uwsgi front listens and what stands below it.
@@ -19,9 +21,17 @@
 	OpenAPI string   `toml:"openapi"` // the description of what is served, beside this file
 }
 
+// Store says who holds the replicated store, and where operators reach this daemon's copy.
+type Store struct {
+	Admin   string         `toml:"admin"`   // address for operators; empty: none
+	Dir     string         `toml:"dir"`     // where it outlives a restart; empty: in memory
+	Members []store.Member `toml:"members"` // none: this daemon alone
+}
+
 // Deploy is our own file of deployment settings.
 type Deploy struct {
 	Uwsgi Uwsgi `toml:"uwsgi"`
+	Store Store `toml:"store"`
 
 	OpenAPI []byte `toml:"-"` // the text of the description
 }
@@ -56,16 +66,26 @@
 		return nil, err
 	}
 	u := d.Uwsgi
+	addresses := []string{d.Store.Admin}
+	for _, m := range d.Store.Members {
+		if m.Name == "" || m.Raft == "" {
+			return nil, errors.New("store: a member needs a name and a raft address")
+		}
+		addresses = append(addresses, m.Raft, m.Admin)
+	}
+	for _, address := range append(append(addresses, u.Listen), u.Servers...) {
+		if address == "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return nil, err
+		}
+	}
 	if u.Listen == "" {
 		return d, nil
 	}
 	if u.OpenAPI == "" || len(u.Servers) == 0 {
 		return nil, errors.New("uwsgi: openapi and servers are needed where listen is set")
 	}
-	for _, address := range append([]string{u.Listen}, u.Servers...) {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return nil, fmt.Errorf("uwsgi: %w", err)
-		}
-	}
 	return d, nil
 }
--- a/internal/directory/pulse.go
+++ b/internal/directory/pulse.go
@@ -18,9 +18,9 @@
 // New returns a pulse for the node of that name.
 func New(name string) *Pulse { return &Pulse{name: name, now: make(chan struct{}, 1)} }
 
-// Leave reports the node as closed from now on.
-func (p *Pulse) Leave() {
-	p.closed.Store(true)
+// Close reports the node as closed from now on, or as open again.
+func (p *Pulse) Close(closed bool) {
+	p.closed.Store(closed)
 	select {
 	case p.now <- struct{}{}:
 	default:
--- a/internal/directory/pulse_test.go
+++ b/internal/directory/pulse_test.go
@@ -33,7 +33,7 @@
 			t.Errorf("report %q", got)
 		}
 	}
-	p.Leave()
+	p.Close(true)
 	for got := read(); got != "PULSE n3 closed"; got = read() {
 		if got != "PULSE n3 open" {
 			t.Fatalf("report %q", got)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -29,6 +29,8 @@
 	UwsgiConns int // uwsgi callers at once, on either side
 	HTTPHead   int // bytes of a response's head
 
+	Agree                 time.Duration // for a change of the store, and for an operator's request
+	Beat                  time.Duration // of silence after which the store's members elect a leader
 	Read                  time.Duration // for a uwsgi request to come whole
 	Exchange              time.Duration // for a uwsgi server to answer
 	Write                 time.Duration // for one write to any peer
@@ -62,6 +64,7 @@
 		Vars:       32 << 10, VarCount: 256, Content: 64 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
 		UwsgiConns: max(8, min(sockets/8, int(memory/(2<<20)))),
 		Read:       10 * time.Second, Exchange: time.Minute,
+		Agree: 5 * time.Second, Beat: time.Second,
 		Write: 3 * time.Second, Dial: time.Second,
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
 		CallIdle: 8 * time.Second, CallSlack: 100 * time.Millisecond,
--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -13,8 +13,8 @@
 
 const mostValue = 4 << 10 // bytes of a value that an operator may set
 
-// Addresses splits a list of addresses with commas between them.
-func Addresses(value string) []string {
+// Items splits a list with commas between its items.
+func Items(value string) []string {
 	return strings.FieldsFunc(value, func(r rune) bool { return r == ',' || r == ' ' })
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -21,20 +21,20 @@
 
 // Keys of the store. There are no others, so its size is bounded.
 const (
-	Closed       = "closed"        // "true" takes all members out of service
+	Closed       = "closed"        // names of the nodes that are out of service, with commas between them
 	UwsgiServers = "uwsgi-servers" // addresses in place of the deployment file's, with commas between them
 )
 
 // checks say whether a value is valid for its key; "" always is, and clears the key.
 var checks = map[string]func(value string) error{
 	Closed: func(value string) error {
-		if value != "true" && value != "false" {
-			return errors.New("must be true or false")
+		if len(Items(value)) == 0 {
+			return errors.New("names no node")
 		}
 		return nil
 	},
 	UwsgiServers: func(value string) error {
-		for _, address := range Addresses(value) {
+		for _, address := range Items(value) {
 			if _, _, err := net.SplitHostPort(address); err != nil {
 				return err
 			}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -102,9 +102,9 @@
 	}
 	delete(g.stores, old.Name)
 	next := g.leader(t)
-	waitFor(t, "a change after the leader died", func() bool { return g.stores[next.Name].Set(Closed, "true") == nil })
-	g.all(t, Closed, "true")
-	if got, err := (Client{next.Admin, standin.Patience}).All(); err != nil || got[Closed] != "true" || len(got) != 2 {
+	waitFor(t, "a change after the leader died", func() bool { return g.stores[next.Name].Set(Closed, "n1") == nil })
+	g.all(t, Closed, "n1")
+	if got, err := (Client{next.Admin, standin.Patience}).All(); err != nil || got[Closed] != "n1" || len(got) != 2 {
 		t.Errorf("state %v, %v", got, err)
 	}
 }
@@ -116,7 +116,7 @@
 	dir := t.TempDir()
 	s := g.open(t, "n0", dir)
 	g.leader(t)
-	if err := s.Set(Closed, "true"); err != nil {
+	if err := s.Set(Closed, "n1"); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.raft.Snapshot().Error(); err != nil {
@@ -126,7 +126,7 @@
 		t.Fatal(err)
 	}
 	s = g.open(t, "n0", dir)
-	g.all(t, Closed, "true")
+	g.all(t, Closed, "n1")
 	if err := s.Close(); err != nil {
 		t.Error(err)
 	}
@@ -143,14 +143,14 @@
 		key, value string
 		ok         bool
 	}{
-		{Closed, "true", true}, {Closed, "true", true}, {Closed, "", true}, {Closed, "maybe", false},
+		{Closed, "n1,n2", true}, {Closed, "n1,n2", true}, {Closed, "", true}, {Closed, ", ", false},
 		{UwsgiServers, "127.0.0.1:1, 127.0.0.1:2", true}, {UwsgiServers, "127.0.0.1", false}, {"other", "x", false},
 	} {
 		if err := s.Set(c.key, c.value); (err == nil) != c.ok {
 			t.Errorf("%s=%s: %v", c.key, c.value, err)
 		}
 	}
-	if got := strings.Join(seen, " "); got != "closed=true closed= uwsgi-servers=127.0.0.1:1, 127.0.0.1:2" {
+	if got := strings.Join(seen, " "); got != "closed=n1,n2 closed= uwsgi-servers=127.0.0.1:1, 127.0.0.1:2" {
 		t.Errorf("watched %s", got)
 	}
 	if _, err := Open(Options{Name: "n9", Members: []Member{{Name: "n0", Raft: "127.0.0.1:0"}}, Log: standin.Quiet}); err == nil {
--- a/internal/uwsgi/servers.go
+++ b/internal/uwsgi/servers.go
@@ -26,14 +26,14 @@
 
 // Servers runs requests on uwsgi servers, in turn. It is a runner of work for the core.
 type Servers struct {
-	addresses []string
-	limits    limits.Limits
-	log       *slog.Logger
-	events    Events
+	limits limits.Limits
+	log    *slog.Logger
+	events Events
 
-	mu   sync.Mutex
-	next int
-	runs map[string]*exchange
+	mu        sync.Mutex
+	addresses []string
+	next      int
+	runs      map[string]*exchange
 }
 
 // exchange is one run: at most one server ever gets its bytes.
@@ -50,15 +50,26 @@
 // Serve names where runs are reported.
 func (s *Servers) Serve(events Events) { s.events = events }
 
+// Use takes work to servers at these addresses from now on.
+func (s *Servers) Use(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses = addresses
+}
+
 // Start runs a request: body is its packet, sent as it came.
 func (s *Servers) Start(id, _ string, body []byte, _ bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := &exchange{}
 	s.runs[id] = x
-	first := s.next
+	n := len(s.addresses)
+	order := make([]string, n)
+	for i := range order {
+		order[i] = s.addresses[(s.next+i)%n]
+	}
 	s.next++
-	go s.run(id, x, first, body)
+	go s.run(id, x, order, body)
 }
 
 // Stop ends a run whose answer is wanted no more. uwsgi knows no pause.
@@ -82,10 +93,10 @@
 // Omit does nothing: see Continue.
 func (s *Servers) Omit(string, uint64) {}
 
-func (s *Servers) run(id string, x *exchange, first int, body []byte) {
+func (s *Servers) run(id string, x *exchange, addresses []string, body []byte) {
 	began := time.Now()
 	outcome, result := logic.Unreachable, []byte(nil)
-	conn, err := s.dial(x, first)
+	conn, err := s.dial(x, addresses)
 	if err == nil {
 		outcome = logic.OK
 		if result, err = s.exchange(conn, body); err != nil {
@@ -110,10 +121,9 @@
 }
 
 // dial tries each server once. A connection that failed proves that nothing ran there, so the next may be tried.
-func (s *Servers) dial(x *exchange, first int) (conn net.Conn, err error) {
+func (s *Servers) dial(x *exchange, addresses []string) (conn net.Conn, err error) {
 	err = errors.New("no servers configured")
-	for i := range s.addresses {
-		address := s.addresses[(first+i)%len(s.addresses)]
+	for _, address := range addresses {
 		if conn, err = net.DialTimeout("tcp", address, s.limits.Dial); err == nil {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -281,7 +281,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			e := &ends{got: make(chan gate.Outcome, 1)}
-			s := NewServers(c.servers, limits.For(64, 256), standin.Quiet)
+			s := NewServers(nil, limits.For(64, 256), standin.Quiet)
+			s.Use(c.servers)
 			s.Serve(e)
 			before := up.Runs(c.body)
 			s.Start("1", "", []byte(packetOf(t, c.body, [2]string{"CONTENT_LENGTH", "4"})), true)
