--- /dev/null
+++ b/internal/describe/asyncapi.go
@@ -0,0 +1,75 @@
+package describe
+
+import (
+	_ "embed"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"go.yaml.in/yaml/v4"
+)
+
+// Platform is the AsyncAPI document of the platform's messages.
+//
+//go:embed platform.asyncapi.yaml
+var Platform []byte
+
+// Message is one described message.
+type Message struct {
+	Summary  string
+	Examples []any
+	schema   *jsonschema.Schema
+}
+
+// Valid says whether a message has the described form.
+func (m *Message) Valid(payload any) error { return m.schema.Validate(payload) }
+
+// document is the part of an AsyncAPI document that is used here; payloads are JSON Schemas.
+type document struct {
+	AsyncAPI   string `yaml:"asyncapi"`
+	Components struct {
+		Messages map[string]struct {
+			Summary  string
+			Payload  any
+			Examples []struct{ Payload any }
+		}
+	}
+}
+
+// Messages reads an AsyncAPI document and holds its examples against its schemas.
+func Messages(text []byte) (map[string]*Message, error) {
+	var doc document
+	if err := yaml.Unmarshal(text, &doc); err != nil {
+		return nil, err
+	}
+	if doc.AsyncAPI != "3.0.0" {
+		return nil, fmt.Errorf("asyncapi %q is not 3.0.0", doc.AsyncAPI)
+	}
+	messages := map[string]*Message{}
+	for _, name := range slices.Sorted(maps.Keys(doc.Components.Messages)) {
+		described := doc.Components.Messages[name]
+		compiler := jsonschema.NewCompiler()
+		at := "message:" + name
+		if err := compiler.AddResource(at, described.Payload); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		schema, err := compiler.Compile(at)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		m := &Message{Summary: described.Summary, schema: schema}
+		for _, example := range described.Examples {
+			if err := m.Valid(example.Payload); err != nil {
+				return nil, fmt.Errorf("%s: example: %w", name, err)
+			}
+			m.Examples = append(m.Examples, example.Payload)
+		}
+		messages[name] = m
+	}
+	if len(messages) == 0 {
+		return nil, errors.New("no messages")
+	}
+	return messages, nil
+}
--- /dev/null
+++ b/internal/resp/describe_test.go
@@ -0,0 +1,146 @@
+package resp
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"sloehitch/internal/describe"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
+)
+
+func described(t *testing.T) map[string]*describe.Message {
+	t.Helper()
+	messages, err := describe.Messages(describe.Platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return messages
+}
+
+// array turns a described message into the parts of its array.
+func array(m map[string]any) (parts [][]byte) {
+	add := func(v any) { parts = append(parts, []byte(v.(string))) }
+	add(m["verb"])
+	if tag, found := m["tag"]; found {
+		add(tag)
+	}
+	if m["verb"] != "DO" {
+		return parts
+	}
+	add(m["class"])
+	fields, _ := m["fields"].(map[string]any)
+	var pairs []string
+	for _, name := range slices.Sorted(maps.Keys(fields)) {
+		pairs = append(pairs, name+"="+fields[name].(string))
+	}
+	add(strings.Join(pairs, ","))
+	if body, found := m["body"]; found {
+		add(body)
+	}
+	return parts
+}
+
+// TestParserFollowsTheDescription: what the AsyncAPI document allows is read, and what it forbids is not.
+func TestParserFollowsTheDescription(t *testing.T) {
+	lim := limits.For(64, 256)
+	for _, name := range []string{"do", "undo", "ping"} {
+		m := described(t)[name]
+		for _, example := range m.Examples {
+			read := func(what string, payload map[string]any) {
+				_, err := parse(array(payload), lim.Body, lim.Fields)
+				if valid := m.Valid(payload); (err == nil) != (valid == nil) {
+					t.Errorf("%s, %s: the parser says %v, the description %v", name, what, err, valid)
+				}
+			}
+			payload := example.(map[string]any)
+			read("example", payload)
+			for _, tag := range []string{"0", "-1", "x", "1.5", "07"} {
+				changed := maps.Clone(payload)
+				changed["tag"] = tag
+				read("tag "+tag, changed)
+			}
+			fields, _ := payload["fields"].(map[string]any)
+			for field := range fields {
+				for _, value := range []string{"", "x", "-1", "1e9", strings.Repeat("9", 80)} {
+					if value != "" && !slices.Contains([]string{"req", "ts", "via", "ms", "need", "level", "opkey"}, field) {
+						continue // free text, bounded with the whole list
+					}
+					if field == "level" && value == "" || field == "via" && value == "" {
+						continue
+					}
+					changed, list := maps.Clone(payload), maps.Clone(fields)
+					changed["fields"] = list
+					list[field] = value
+					if field == "opkey" && len(value) <= 64 || field == "ms" && value == "1e9" {
+						continue
+					}
+					read(field+"="+value, changed)
+				}
+				changed, list := maps.Clone(payload), maps.Clone(fields)
+				changed["fields"] = list
+				delete(list, field)
+				read("without "+field, changed)
+			}
+		}
+	}
+}
+
+// mood is what a test's node tells callers.
+type mood struct {
+	signal float64
+	set    bool
+}
+
+func (m mood) Signal() (float64, bool) { return m.signal, m.set }
+func (mood) Well() bool                { return true }
+func (mood) Idle() time.Duration       { return 0 }
+
+// TestAnswersFollowTheDescription: every answer that the front can write is a described one.
+func TestAnswersFollowTheDescription(t *testing.T) {
+	messages := described(t)
+	for _, c := range []struct {
+		a    node.Answer
+		m    mood
+		want string
+	}{
+		{node.Answer{Kind: node.Served, Result: []byte("r")}, mood{0.25, true}, "7 ACK signal=0.2500 r"},
+		{node.Answer{Kind: node.Served}, mood{}, "7 ACK"},
+		{node.Answer{Kind: node.Refused, Holdoff: 1500 * time.Microsecond, Last: true}, mood{0, true}, "7 NAK signal=0.0000,holdoff=2,nomore=1 "},
+		{node.Answer{Kind: node.Refused}, mood{}, "7 NAK"},
+		{node.Answer{Kind: node.Failed, Holdoff: time.Second, Last: true}, mood{}, "7 FAIL"},
+	} {
+		f := New(Options{Standing: c.m, Limits: limits.For(64, 256)})
+		k := &conn{front: f, open: map[string]string{"7": "id"}, writing: true} // nothing is flushed
+		k.answer("7", c.a)
+		k.answer("7", c.a) // a second answer must not be written
+		cmd, err := redcon.Parse(k.out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts := make([]string, len(cmd.Args))
+		for i, a := range cmd.Args {
+			parts[i] = string(a)
+		}
+		if got := strings.Join(parts, " "); got != c.want {
+			t.Errorf("wrote %q, want %q", got, c.want)
+		}
+		payload := map[string]any{"tag": parts[0], "word": parts[1]}
+		if len(parts) == 4 {
+			fields := map[string]any{}
+			for _, pair := range strings.FieldsFunc(parts[2], func(r rune) bool { return r == ',' }) {
+				name, value, _ := strings.Cut(pair, "=")
+				fields[name] = value
+			}
+			payload["fields"], payload["body"] = fields, parts[3]
+		}
+		if err := messages["answer"].Valid(payload); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -80,7 +80,8 @@
 	return nil
 }
 
-func (d *do) field(name, value string) (err error) {
+func (d *do) field(name, value string) error {
+	var err error
 	switch name {
 	case "req":
 		if len(value) != 16 || strings.Trim(value, "0123456789abcdefABCDEF") != "" {
@@ -94,7 +95,9 @@
 		}
 		d.arrived = time.UnixMilli(ms)
 	case "via":
-		d.via, err = strconv.Atoi(value)
+		n, err := strconv.ParseUint(value, 10, 30)
+		d.via = int(n)
+		return err
 	case "owner":
 		d.owner = value
 	case "resent":
--- a/internal/runtime/link_test.go
+++ b/internal/runtime/link_test.go
@@ -1,9 +1,14 @@
 package runtime
 
 import (
+	"bytes"
+	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/santhosh-tekuri/jsonschema/v6"
+
+	"sloehitch/internal/describe"
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/standin"
@@ -101,3 +106,43 @@
 		}
 	}
 }
+
+// TestMessagesFollowTheDescription: each command that is sent is a described one, each described notice is taken.
+func TestMessagesFollowTheDescription(t *testing.T) {
+	messages, err := describe.Messages(describe.Platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet, Gauges: func(gate.Gauges) {}})
+	e := &events{make(chan end, 16), make(chan uint64, 16)}
+	l.events, l.synced = e, true
+	pos := uint64(7)
+	l.queue = append(l.queue, encode(command{Action: "sync", Pos: &pos}))
+	l.Start("a", "book", nil, true)
+	l.Stop("a")
+	l.Continue("a")
+	l.Give("a", []byte("reply"))
+	l.Omit("a", 3)
+	l.Ask()
+	for _, line := range l.queue {
+		payload, err := jsonschema.UnmarshalJSON(bytes.NewReader(line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := messages["command"].Valid(payload); err != nil {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+	for _, example := range messages["notice"].Examples {
+		line, err := json.Marshal(example)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.take(line); err != nil {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+	if len(e.ends) != 1 || len(e.wants) != 1 || l.pos != 3 {
+		t.Errorf("%d ends and %d calls were told, up to %d", len(e.ends), len(e.wants), l.pos)
+	}
+}
