--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -22,10 +22,11 @@
 const version = "0.1.0"
 
 var cli struct {
-	Serve   serveCmd   `cmd:"" help:"Serve until told to stop."`
-	Check   checkCmd   `cmd:"" help:"Check a configuration and say what it would do."`
-	State   stateCmd   `cmd:"" help:"Show or change the operators' state, on all members of the store."`
-	Version versionCmd `cmd:"" help:"Print the version."`
+	Serve    serveCmd    `cmd:"" help:"Serve until told to stop."`
+	Check    checkCmd    `cmd:"" help:"Check a configuration and say what it would do."`
+	Describe describeCmd `cmd:"" help:"Print the AsyncAPI description of the platform's messages."`
+	State    stateCmd    `cmd:"" help:"Show or change the operators' state, on all members of the store."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
 // files are the flags that name configuration files.
@@ -78,6 +79,13 @@
 	return nil
 }
 
+type describeCmd struct{}
+
+func (describeCmd) Run(_ *slog.Logger) error {
+	_, err := os.Stdout.Write(describe.Platform)
+	return err
+}
+
 type stateCmd struct {
 	Admin string       `help:"Address that a daemon has for operators." required:""`
 	Show  stateShowCmd `cmd:"" help:"Print all that is set."`
--- /dev/null
+++ b/example/toy/main.go
@@ -0,0 +1,93 @@
+// Command toy is a uwsgi server that books chair times in memory, and a client to ask it or a sloehitch before it.
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"sloehitch/internal/limits"
+	"sloehitch/internal/uwsgi"
+)
+
+var cli struct {
+	Serve serveCmd `cmd:"" help:"Serve until stopped."`
+	Ask   askCmd   `cmd:"" help:"Send one request and print the response."`
+}
+
+type serveCmd struct {
+	Listen string        `default:"127.0.0.1:3031" help:"Address to serve on."`
+	Work   time.Duration `default:"200ms" help:"How long each request takes."`
+}
+
+func (c *serveCmd) Run() error {
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	slog.Info("serving", "listen", c.Listen)
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		go c.serve(conn)
+	}
+}
+
+func (c *serveCmd) serve(conn net.Conn) {
+	defer conn.Close()
+	vars, body, err := uwsgi.ReadRequest(conn, limits.For(64, 256))
+	if err != nil {
+		slog.Warn("bad request", "error", err)
+		return
+	}
+	slog.Info("run", "method", vars["REQUEST_METHOD"], "path", vars["PATH_INFO"], "key", vars["HTTP_IDEMPOTENCY_KEY"], "body", string(body))
+	time.Sleep(c.Work)
+	text := "free: 09:00 10:30 14:00\n"
+	if vars["REQUEST_METHOD"] == "POST" {
+		text = fmt.Sprintf("booked at %s\n", time.Now().Format(time.TimeOnly+".000"))
+	}
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(text), text); err != nil {
+		slog.Warn("response not written", "error", err)
+	}
+}
+
+type askCmd struct {
+	Method string `arg:""`
+	Path   string `arg:""`
+	Key    string `help:"Idempotency-Key of a booking."`
+	Body   string `help:"Body of the request."`
+	To     string `default:"127.0.0.1:3030" help:"Address to ask."`
+}
+
+func (c *askCmd) Run() error {
+	vars := [][2]string{{"REQUEST_METHOD", c.Method}, {"PATH_INFO", c.Path}, {"CONTENT_LENGTH", fmt.Sprint(len(c.Body))}}
+	if c.Key != "" {
+		vars = append(vars, [2]string{"HTTP_IDEMPOTENCY_KEY", c.Key})
+	}
+	packet, err := uwsgi.AppendPacket(nil, vars, []byte(c.Body))
+	if err != nil {
+		return err
+	}
+	conn, err := net.Dial("tcp", c.To)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if _, err := conn.Write(packet); err != nil {
+		return err
+	}
+	_, err = io.Copy(os.Stdout, conn)
+	return err
+}
+
+func main() {
+	ctx := kong.Parse(&cli, kong.Name("toy"), kong.Description("A uwsgi server that books chair times in memory, and a client."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/uwsgi/packet.go
+++ b/internal/uwsgi/packet.go
@@ -129,3 +129,13 @@
 	}
 	return append(dst, body...), nil
 }
+
+// ReadRequest reads one request as a server does.
+func ReadRequest(r io.Reader, lim limits.Limits) (vars map[string]string, body []byte, err error) {
+	p, err := readPacket(r, lim)
+	if err != nil {
+		return nil, nil, err
+	}
+	size := int(binary.LittleEndian.Uint16(p.raw[1:3]))
+	return p.vars, p.raw[headerSize+size:], nil
+}
