Log trouble at a sane rate; requeue what a broken runtime link can't have taken

Found by reading: a catalogue that is down logged a line a call, and stops queued without bound while the runtime was away. Tests: lograte, TestPutBack.

--- a/internal/catalogue/client.go
+++ b/internal/catalogue/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,11 +10,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/lograte"
 	"sloehitch/logic"
 )
 
@@ -36,7 +35,7 @@
 type Client struct {
 	address string
 	limits  limits.Limits
-	log     *slog.Logger
+	log     *lograte.Logger
 
 	mu    sync.Mutex
 	cond  *sync.Cond
@@ -50,7 +49,7 @@
 
 // New returns a client for the proxy at the address.
 func New(address string, l limits.Limits, log *slog.Logger) *Client {
-	c := &Client{address: address, limits: l, log: log, calls: map[string]*call{}}
+	c := &Client{address: address, limits: l, log: lograte.New(log, l.LogEvery), calls: map[string]*call{}}
 	c.cond = sync.NewCond(&c.mu)
 	return c
 }
@@ -167,7 +166,7 @@
 		delete(c.calls, k.id)
 	}
 	c.mu.Unlock()
-	c.log.Warn("no connection to the catalogue", "refused", errors.Is(err, syscall.ECONNREFUSED), "error", err)
+	c.log.Warn("no connection to the catalogue", err)
 	for _, k := range failed {
 		k.finish(logic.Unreachable, nil)
 	}
@@ -294,7 +293,7 @@
 	c.cond.Broadcast()
 	c.mu.Unlock()
 	if len(lost) > 0 {
-		c.log.Warn("the connection to the catalogue broke", "calls", len(lost), "error", err)
+		c.log.Warn("the connection to the catalogue broke during calls", err)
 	}
 	for _, k := range lost {
 		k.finish(logic.Reset, nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,12 +4,14 @@
 package node
 
 import (
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
 
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/lograte"
 	"sloehitch/logic"
 )
 
@@ -114,6 +116,7 @@
 	byNum   map[uint64]*request
 	next    uint64
 	keys    *keyTable
+	log     *lograte.Logger
 	leaving time.Time // when the notice to leave came; zero: it did not
 	kill    time.Time
 	open    int // requests that are owed an answer
@@ -125,6 +128,7 @@
 func New(o Options) *Node {
 	window := func(class int) time.Duration { return span(o.Settings.Classes[class].Window) }
 	return &Node{opts: o, byID: map[string]*request{}, byNum: map[uint64]*request{},
+		log:  lograte.New(o.Log, o.Limits.LogEvery),
 		keys: newKeyTable(o.Limits.Keys, o.Limits.KeySlack, window), emptied: make(chan struct{})}
 }
 
@@ -286,7 +290,7 @@
 		return
 	}
 	n.counts.Late++
-	n.opts.Log.Warn("answered by the due-time guard", "id", r.ID, "stage", int(r.stage))
+	n.log.Warn("answered by the due-time guard", fmt.Errorf("request %s was due at %v", r.ID, r.due))
 	n.giveUp(r)
 }
 
--- a/internal/resp/describe_test.go
+++ b/internal/resp/describe_test.go
@@ -12,6 +12,7 @@
 	"sloehitch/internal/describe"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
+	"sloehitch/internal/standin"
 )
 
 func described(t *testing.T) map[string]*describe.Message {
@@ -115,7 +116,7 @@
 		{node.Answer{Kind: node.Refused}, mood{}, "7 NAK"},
 		{node.Answer{Kind: node.Failed, Holdoff: time.Second, Last: true}, mood{}, "7 FAIL"},
 	} {
-		f := New(Options{Standing: c.m, Limits: limits.For(64, 256)})
+		f := New(Options{Standing: c.m, Limits: limits.For(64, 256), Log: standin.Quiet})
 		k := &conn{front: f, open: map[string]string{"7": "id"}, writing: true} // nothing is flushed
 		k.answer("7", c.a)
 		k.answer("7", c.a) // a second answer must not be written
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"sloehitch/internal/limits"
+	"sloehitch/internal/lograte"
 	"sloehitch/internal/node"
 )
 
@@ -44,19 +45,18 @@
 // Front serves balancers.
 type Front struct {
 	opts Options
+	log  *lograte.Logger
 
 	closed chan struct{}
 
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	leaving bool
-	logged  time.Time // when bad input was logged last
-	hushed  int       // lines left out since
 }
 
 // New returns a front that serves nothing yet.
 func New(o Options) *Front {
-	return &Front{opts: o, conns: map[*conn]struct{}{}, closed: make(chan struct{})}
+	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{})}
 }
 
 // listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
@@ -75,7 +75,7 @@
 			<-l.f.closed
 			return nil, err
 		case err != nil:
-			l.f.bad("accept failed", err)
+			l.f.log.Warn("accept failed", err)
 			time.Sleep(l.f.opts.Limits.RetryLeast)
 		case l.f.full():
 			c.Close() // nothing was read from it, so nothing is owed
@@ -118,18 +118,6 @@
 	return err
 }
 
-// bad logs bad input at a sane rate.
-func (f *Front) bad(what string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if now := time.Now(); now.Sub(f.logged) >= f.opts.Limits.LogEvery {
-		f.opts.Log.Warn(what, "error", err, "left_out", f.hushed)
-		f.logged, f.hushed = now, 0
-		return
-	}
-	f.hushed++
-}
-
 // Sweep closes connections that have been idle for longer than the core wishes, or all idle ones when leaving.
 // It asks first, so that no request crosses the close; a peer that doesn't close in time is cut off.
 func (f *Front) Sweep() {
@@ -210,7 +198,7 @@
 	k.closeIfDone()
 	k.mu.Unlock()
 	if !gone {
-		k.front.bad("bad message: the connection is closed", err)
+		k.front.log.Warn("bad message: the connection is closed", err)
 	} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		k.front.opts.Log.Debug("connection lost", "error", err)
 	}
@@ -229,7 +217,7 @@
 		return err
 	}
 	if err != nil && m.verb != "DO" {
-		k.front.bad("bad message: passed over", err)
+		k.front.log.Warn("bad message: passed over", err)
 		return nil
 	}
 	switch m.verb {
@@ -258,7 +246,7 @@
 	}
 	if err != nil {
 		// It was read, so it is owed an answer; it never ran.
-		k.front.bad("bad request: refused", err)
+		k.front.log.Warn("bad request: refused", err)
 		k.answer(m.tag, node.Answer{Kind: node.Refused})
 		return nil
 	}
--- a/internal/runtime/link.go
+++ b/internal/runtime/link.go
@@ -5,14 +5,17 @@
 	"bufio"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/lograte"
 	"sloehitch/logic"
 )
 
@@ -64,6 +67,7 @@
 type Link struct {
 	opts   Options
 	events Events
+	log    *lograte.Logger
 
 	mu     sync.Mutex
 	cond   *sync.Cond
@@ -72,6 +76,7 @@
 	pos    uint64 // the last notice that was read
 	conn   net.Conn
 	synced bool
+	resent bool // what the last break may have swallowed was sent again on this link
 	closed bool
 	tag    uint64
 }
@@ -80,7 +85,7 @@
 
 // New returns a link that does nothing until Serve.
 func New(o Options) *Link {
-	l := &Link{opts: o, jobs: map[string]*job{}}
+	l := &Link{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), jobs: map[string]*job{}}
 	l.cond = sync.NewCond(&l.mu)
 	return l
 }
@@ -117,8 +122,15 @@
 	}
 }
 
-// Stop pauses a run, or ends one whose request is over.
-func (l *Link) Stop(id string) { l.simple(command{Action: "stop", UID: id}) }
+// Stop pauses a run, or ends one whose request is over. Without a link it is left out: the module asks again, and
+// a queue of what it asks for would grow for as long as the runtime is away.
+func (l *Link) Stop(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.synced {
+		l.send(command{Action: "stop", UID: id})
+	}
+}
 
 // Continue goes on with a paused run.
 func (l *Link) Continue(id string) { l.simple(command{Action: "cont", UID: id}) }
@@ -204,7 +216,7 @@
 	l.conn, l.synced = conn, false
 	pos := l.pos
 	l.mu.Unlock()
-	if err := l.write(conn, encode(command{Action: "sync", Pos: &pos})); err != nil {
+	if _, err := l.write(conn, encode(command{Action: "sync", Pos: &pos})); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
@@ -218,12 +230,24 @@
 	return err
 }
 
-func (l *Link) write(conn net.Conn, b []byte) error {
+func (l *Link) write(conn net.Conn, b []byte) (int, error) {
 	if err := conn.SetWriteDeadline(time.Now().Add(l.opts.Limits.Write)); err != nil {
-		return err
+		return 0, err
+	}
+	return conn.Write(b)
+}
+
+// putBack queues again what a link that broke after n bytes can't have taken: the lines not written whole. The
+// others may have been carried out.
+func (l *Link) putBack(lines [][]byte, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, line := range lines {
+		if n -= len(line); n < 0 {
+			l.queue = append(slices.Clone(lines[i:]), l.queue...)
+			return
+		}
 	}
-	_, err := conn.Write(b)
-	return err
 }
 
 // writeQueue writes what is queued once the runtime has answered the sync.
@@ -245,12 +269,14 @@
 			return
 		}
 		batch = batch[:0]
-		for _, line := range l.queue {
+		lines := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		for _, line := range lines {
 			batch = append(batch, line...)
 		}
-		l.queue = l.queue[:0]
-		l.mu.Unlock()
-		if err := l.write(conn, batch); err != nil {
+		if n, err := l.write(conn, batch); err != nil {
+			l.putBack(lines, n)
 			conn.Close() // the reader notices
 			return
 		}
@@ -304,7 +330,7 @@
 		}
 		l.opts.Gauges(l.gauges(m.Meters))
 	case "nack":
-		l.opts.Log.Warn("the runtime did not carry out a command", "command", m.Code, "id", m.UID)
+		l.log.Warn("the runtime did not carry out a command", fmt.Errorf("%s %s", m.Code, m.UID))
 		if m.Code == "start" {
 			l.over(m.UID)
 			l.events.Ended(m.UID, logic.Moot, 0, nil)
@@ -330,7 +356,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.opts.Log.Info("runtime ready", "state", m.Code, "up_ms", m.WallMS)
-	l.synced = true
+	l.synced, l.resent = true, false
 	if len(l.jobs) > 0 {
 		l.queue = append([][]byte{encode(command{Action: "gauges", Echo: barrier})}, l.queue...)
 	}
@@ -342,6 +368,10 @@
 func (l *Link) resend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.resent { // a second reply could meet the run's next call
+		return
+	}
+	l.resent = true
 	for _, j := range l.jobs {
 		for _, line := range [][]byte{j.start, j.reply} {
 			if line != nil {
@@ -374,7 +404,7 @@
 	o, known := ends[m.Code]
 	result, err := base64.StdEncoding.DecodeString(m.Content)
 	if !known || err != nil || len(result) > l.opts.Limits.Result {
-		l.opts.Log.Warn("a run ended in a way not understood", "id", m.UID, "code", m.Code, "error", err)
+		l.log.Warn("a run ended in a way not understood", fmt.Errorf("%s %s: %w", m.Code, m.UID, err))
 		o, result = logic.Failed, nil
 	}
 	l.events.Ended(m.UID, o, time.Duration(m.WallMS*float64(time.Millisecond)), result)
--- a/internal/runtime/link_test.go
+++ b/internal/runtime/link_test.go
@@ -146,3 +146,18 @@
 		t.Errorf("%d ends and %d calls were told, up to %d", len(e.ends), len(e.wants), l.pos)
 	}
 }
+
+func TestPutBack(t *testing.T) {
+	lines := [][]byte{[]byte("abc\n"), []byte("de\n"), []byte("f\n")}
+	for _, c := range []struct {
+		written int
+		want    string
+	}{{0, "abc\nde\nf\nlater\n"}, {3, "abc\nde\nf\nlater\n"}, {4, "de\nf\nlater\n"}, {6, "de\nf\nlater\n"}, {8, "f\nlater\n"}, {9, "later\n"}} {
+		l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet})
+		l.queue = [][]byte{[]byte("later\n")}
+		l.putBack(lines, c.written)
+		if got := string(bytes.Join(l.queue, nil)); got != c.want {
+			t.Errorf("after %d bytes: %q, want %q", c.written, got, c.want)
+		}
+	}
+}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sloehitch/internal/limits"
+	"sloehitch/internal/lograte"
 	"sloehitch/internal/node"
 )
 
@@ -43,19 +44,19 @@
 // Front serves uwsgi clients: one request on each connection.
 type Front struct {
 	opts   Options
+	log    *lograte.Logger
 	prefix string
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
 	next   uint64
 	counts Counts
-	logged time.Time
 	wg     sync.WaitGroup
 }
 
 // New returns a front that serves nothing yet.
 func New(o Options) *Front {
-	return &Front{opts: o, conns: map[net.Conn]struct{}{}, prefix: "uwsgi-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
+	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[net.Conn]struct{}{}, prefix: "uwsgi-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
 }
 
 // Serve serves what comes in on ln until it is closed.
@@ -66,7 +67,7 @@
 			return nil
 		}
 		if err != nil { // out of descriptors for a moment
-			f.opts.Log.Warn("accept failed", "error", err)
+			f.log.Warn("accept failed", err)
 			time.Sleep(f.opts.Limits.RetryLeast)
 			continue
 		}
@@ -190,15 +191,7 @@
 	if status == 0 {
 		return
 	}
-	f.mu.Lock()
-	log := time.Since(f.logged) >= f.opts.Limits.LogEvery
-	if log {
-		f.logged = time.Now()
-	}
-	f.mu.Unlock()
-	if log {
-		f.opts.Log.Warn("bad uwsgi request", "status", status, "error", err)
-	}
+	f.log.Warn("bad uwsgi request: refused", err)
 	f.write(c, response(status, 0))
 }
 
--- a/internal/uwsgi/servers.go
+++ b/internal/uwsgi/servers.go
@@ -16,6 +16,7 @@
 
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/lograte"
 	"sloehitch/logic"
 )
 
@@ -27,7 +28,7 @@
 // Servers runs requests on uwsgi servers, in turn. It is a runner of work for the core.
 type Servers struct {
 	limits limits.Limits
-	log    *slog.Logger
+	log    *lograte.Logger
 	events Events
 
 	mu        sync.Mutex
@@ -44,7 +45,7 @@
 
 // NewServers returns a runner on servers at these addresses. Serve must be called before it gets work.
 func NewServers(addresses []string, l limits.Limits, log *slog.Logger) *Servers {
-	return &Servers{addresses: addresses, limits: l, log: log, runs: map[string]*exchange{}}
+	return &Servers{addresses: addresses, limits: l, log: lograte.New(log, l.LogEvery), runs: map[string]*exchange{}}
 }
 
 // Serve names where runs are reported.
@@ -111,11 +112,11 @@
 	switch {
 	case outcome == logic.Unreachable:
 		outcome = logic.Moot // no server got a byte of it: it never ran
-		s.log.Warn("no uwsgi server reached", "error", err)
+		s.log.Warn("no uwsgi server reached", err)
 	case err != nil && stopped:
 		outcome = logic.Cancelled
 	case err != nil:
-		s.log.Warn("uwsgi run failed", "id", id, "error", err)
+		s.log.Warn("uwsgi run failed", err)
 	}
 	s.events.Ended(id, outcome, time.Since(began), result)
 }
@@ -135,7 +136,7 @@
 			return conn, nil
 		}
 		if !errors.Is(err, syscall.ECONNREFUSED) {
-			s.log.Warn("uwsgi server not reached", "server", address, "error", err)
+			s.log.Warn("uwsgi server not reached", err)
 		}
 	}
 	return nil, err
