--- /dev/null
+++ b/cmd/sloehitch/main_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sloehitch/internal/standin"
+)
+
+// TestLoad: what is wrong with a configuration is told in one line before anything is started.
+func TestLoad(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	fine := file("fine.json", standin.Config("127.0.0.1:4100", "127.0.0.1:6100", ""))
+	idle := file("idle.json", standin.Config("127.0.0.1:4100", "", ""))
+	file("bad.yaml", "openapi: 3.0.3\ninfo: {title: a, version: '1'}\npaths: {}\n")
+	for _, c := range []struct{ name, config, deploy, wrong string }{
+		{"the platform's", fine, "../../deploy/sloehitch.toml", ""},
+		{"no deployment file", fine, filepath.Join(dir, "none.toml"), ""},
+		{"the example", "../../example/config.json", "../../example/sloehitch.toml", ""},
+		{"no configuration", filepath.Join(dir, "none.json"), "", "no such file"},
+		{"nothing to serve", idle, "", "nothing to serve"},
+		{"bad deployment file", fine, file("bad.toml", "uwsgi = 1"), "bad.toml"},
+		{"bad description", fine, file("on.toml", "[uwsgi]\nlisten = \"127.0.0.1:1\"\nservers = [\"127.0.0.1:2\"]\nopenapi = \"bad.yaml\"\n"), "bad.yaml"},
+	} {
+		f := files{Config: c.config, Deploy: c.deploy}
+		if c.deploy == "" {
+			f.Deploy = filepath.Join(dir, "none.toml")
+		}
+		_, err := f.load()
+		if (err == nil) != (c.wrong == "") || err != nil && (!strings.Contains(err.Error(), c.wrong) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s: %v, want one line on %q", c.name, err, c.wrong)
+		}
+	}
+}
