--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -64,6 +64,7 @@
 	store     *store.Store
 	servers   *uwsgi.Servers // nil where uwsgi is off
 	closed    atomic.Bool    // out of service by the operators' word
+	leaving   atomic.Bool    // the notice to leave has come
 	failed    chan error
 }
 
@@ -183,7 +184,7 @@
 	case store.Closed:
 		closed := slices.Contains(store.Items(value), d.platform.Name)
 		d.closed.Store(closed)
-		d.pulse.Close(closed)
+		d.pulse.Close(closed || d.leaving.Load())
 	case store.UwsgiServers:
 		if d.servers == nil {
 			return
@@ -200,6 +201,9 @@
 func (d *daemon) run(stop <-chan os.Signal) error {
 	sweep := time.NewTicker(d.limits.Sweep)
 	defer sweep.Stop()
+	totals := time.NewTicker(d.limits.Totals)
+	defer totals.Stop()
+	defer d.logTotals()
 	for {
 		select {
 		case err := <-d.failed:
@@ -207,6 +211,8 @@
 		case <-sweep.C:
 			d.node.Sweep()
 			d.front.Sweep()
+		case <-totals.C:
+			d.logTotals()
 		case <-stop:
 			d.leave()
 			return d.store.Close()
@@ -220,6 +226,7 @@
 	kill := time.After(d.platform.Stop() - d.limits.KillSpare/2)
 	d.log.Info("leaving", "stop", d.platform.Stop())
 	owed := d.node.Leave(d.platform.Stop())
+	d.leaving.Store(true)
 	d.pulse.Close(true)
 	for _, ln := range d.listeners {
 		ln.Close() // a refused connection proves that nothing ran
@@ -245,6 +252,15 @@
 	}
 }
 
+func (d *daemon) logTotals() {
+	counts, hand, keys := d.node.Totals()
+	args := []any{"core", counts, "in_hand", hand, "keys", keys, "connections", d.open()}
+	if d.uwsgi != nil {
+		args = append(args, "uwsgi", d.uwsgi.Totals())
+	}
+	d.log.Info("totals", args...)
+}
+
 func (d *daemon) open() int {
 	if d.uwsgi == nil {
 		return d.front.Open()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -46,7 +46,8 @@
 	KillSpare             time.Duration // before the kill at which all that is left is answered
 	Sweep                 time.Duration // between looks for what has expired
 	Orphan                time.Duration // after its due time when a run that never reported is written off
-	LogEvery              time.Duration // between log lines on one kind of bad input
+	Totals                time.Duration // between log lines with the counts
+	LogEvery              time.Duration // between log lines on one kind of trouble
 }
 
 // For derives the limits from the platform's caps on memory and on descriptors.
@@ -70,6 +71,6 @@
 		CallIdle: 8 * time.Second, CallSlack: 100 * time.Millisecond,
 		Pulse: 700 * time.Millisecond, Gauges: 700 * time.Millisecond, Closing: 2 * time.Second,
 		KeySlack: 200 * time.Millisecond, DueShare: 0.5, KillSpare: 150 * time.Millisecond,
-		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second,
+		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
 }
