--- a/logic/guard_test.go
+++ b/logic/guard_test.go
@@ -265,7 +265,7 @@
 	}
 }
 
-// TestSecondEnd guards against a host that tells of the end of a request which was still held.
+// TestSecondEnd guards against a host that tells of the end of a request which was still held, and does so twice.
 func TestSecondEnd(t *testing.T) {
 	for _, o := range []Outcome{OK, Failed, Cancelled, Moot} {
 		cfg := Settings{Classes: []Class{{Name: "read", Aim: 500_000, Deadline: 2_000_000, Worth: 1}},
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -366,7 +366,7 @@
 func (s *Server) finish(r *request, ev *Event) {
 	if r.stage == running && (ev.Outcome == OK || ev.Outcome == Failed) {
 		s.completed(r, ev)
-	} else if r.stage != joined && ev.Outcome == Cancelled {
+	} else if (r.stage == running || r.stage == calling) && ev.Outcome == Cancelled {
 		s.giveUp(r)
 	}
 	s.forget(r)
@@ -889,9 +889,6 @@
 
 // forget drops a request that is over. A call still out stays in the dependency's hands for a while.
 func (s *Server) forget(r *request) {
-	if s.byID[r.id] != r {
-		return // over already: a second word on its end must not end the process
-	}
 	switch r.stage {
 	case running:
 		s.running--
