Tell requests under one key apart by body, and bound what bad clients may hold

Lines at fault: node/keys.go arrive joined any body to the key's first try; resp/front.go took tenants that do not exist; nothing bounded the time of a message (resp/frames.go Read), and closeIfDone waited for runs after a bad frame. Bad messages other than DO were passed over in silence.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -201,36 +201,76 @@
 	other := standin.Dial(t, s.address)
 	other.Do(1, "slot-search", req(1), time.Now(), "a", "")
 	ends := []string{"PING\r\n", "*1\r\n$9223372036854775807\r\n", "*9999999999\r\n", "*-1\r\n", "\x00\x00\x00",
-		standin.Array("PING"), standin.Array("DO", "0", "book"), standin.Array("DO", "1", "book", "req=1", "")}
+		standin.Array("PING"), standin.Array("DO", "0", "book"), standin.Array("DO", "1", "book", "req=1", ""), standin.Array("PING", "1"),
+		strings.Repeat(standin.Array("GET", "7"), 4), "*2\r\n$4\r\nPI"}
 	var spoilt []*standin.Balancer
 	for i, bad := range ends {
 		b := standin.Dial(t, s.address)
 		// What came whole in the same packet before the bad bytes was read and is owed an answer.
-		fields := fmt.Sprintf("req=%s,ts=%d", req(10+i), time.Now().UnixMilli())
+		fields := fmt.Sprintf("req=%s,ts=%d,owner=acme,need=1,level=0", req(10+i), time.Now().UnixMilli())
 		b.Send(standin.Array("DO", "1", "slot-search", fields, "b") + bad)
 		spoilt = append(spoilt, b)
 	}
 	refused := standin.Dial(t, s.address)
 	refused.Send(standin.Array("DO", "5", "no-such-class", "req="+req(90)+",ts=1764576000123", "") + standin.Array("GET", "6"))
-	if got := refused.Read(); len(got) < 2 || got[0] != "5" || got[1] != "NAK" {
-		t.Errorf("an unknown class got %q", got)
+	for _, want := range []string{"5 NAK", "6 FAIL"} {
+		if got := refused.Read(); len(got) < 2 || got[0]+" "+got[1] != want {
+			t.Errorf("what can't be taken got %q, want %s", got, want)
+		}
 	}
 	only(t, refused, "7")
-	close(hold)
-	for i, b := range spoilt {
-		if got := b.Read(); len(got) < 2 || got[0] != "1" {
+	silent := standin.Dial(t, s.address)
+	for i, b := range spoilt { // while the run goes on: nobody waits for that
+		got := b.Read()
+		for len(got) > 1 && got[0] == "7" {
+			got = b.Read()
+		}
+		if len(got) < 2 || got[0] != "1" || got[1] == "ACK" {
 			t.Errorf("%q: lost the request before it, got %q", ends[i], got)
 		}
-		if got := b.Read(); got != nil {
+		for got = b.Read(); len(got) > 1 && got[0] == "7"; {
+			got = b.Read()
+		}
+		if got != nil {
 			t.Errorf("%q: not closed, got %q", ends[i], got)
 		}
 	}
+	if got := silent.Read(); got != nil {
+		t.Errorf("who said nothing got %q", got)
+	}
+	if other.Send(standin.Array("PING", "8")); other.Read()[1] != "GREEN" {
+		t.Error("a quiet connection with something open was closed")
+	}
+	close(hold)
 	if got := other.Read(); len(got) < 2 || got[0] != "1" {
 		t.Errorf("another connection got %q", got)
 	}
 	only(t, other, "2")
 }
 
+// TestAKeyWithAnotherBody: by either protocol it is neither run nor answered with the first one's result, which stays.
+func TestAKeyWithAnotherBody(t *testing.T) {
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { return "OK", string(j.Body) })
+	server := standin.NewServer(t, func(body string) string { return "HTTP/1.1 200 OK\r\n\r\n" + body })
+	s := serveNode(t, ample, rt, server.Address)
+	b := standin.Dial(t, s.address)
+	for i, c := range []struct{ body, word string }{{"first", "ACK"}, {"other", "FAIL"}, {"first", "ACK"}} {
+		b.Do(i+1, "book", req(i+1), time.Now(), c.body, ",opkey=k1")
+		if got := b.Read(); len(got) < 2 || got[1] != c.word || c.word == "ACK" && got[3] != "first" {
+			t.Errorf("%s got %q, want %s", c.body, got, c.word)
+		}
+		want := "HTTP/1.1 " + map[string]string{"ACK": "200 OK", "FAIL": "422 Unprocessable Entity"}[c.word]
+		if got := ask(t, s.uwsgi, c.body, post("k2")...); !strings.HasPrefix(got, want) {
+			t.Errorf("%s got %q, want %s", c.body, got, want)
+		}
+	}
+	for body, want := range map[string]int{"first": 1, "other": 0} {
+		if a, b := rt.Runs(body), server.Runs(body); a != want || b != want {
+			t.Errorf("%s ran %d and %d times, want %d", body, a, b, want)
+		}
+	}
+}
+
 // TestReload: on SIGHUP new addresses are taken over without losing a run, and a bad file leaves the old ones in force.
 func TestReload(t *testing.T) {
 	hold, started := make(chan struct{}), make(chan struct{}, 1)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -33,14 +33,16 @@
 
 	Agree                 time.Duration // for a change of the store, and for an operator's request
 	Beat                  time.Duration // of silence after which the store's members elect a leader
-	Read                  time.Duration // for a uwsgi request to come whole
 	Exchange              time.Duration // for a uwsgi server to answer
 	Write                 time.Duration // for one write to any peer
 	Dial                  time.Duration // for one connection attempt
 	RetryLeast, RetryMost time.Duration // between attempts to reach the runtime
 	CallIdle              time.Duration // after which an unused connection to the catalogue is closed
 	ReplyRest             time.Duration // for the rest of a catalogue's reply once it has begun
-	Message               time.Duration // for a balancer's message to come whole, and for the first one to come
+	Message               time.Duration // for a message to come whole, and for a connection's first one to come
+	Newcomer              time.Duration // of silence that a new connection is granted when others want its place
+	Quiet                 time.Duration // of idling that any other is granted then
+	Ahead, Behind         time.Duration // of the clock, within which a request's time stamp is taken
 	HandOver              time.Duration // for the runtime to take what was written before the link moves elsewhere
 	CallSlack             time.Duration // past a call's own time before it is given up here
 	Pulse                 time.Duration // between reports to the directory
@@ -71,7 +73,7 @@
 		KeptResult: 16 << 10,
 		Vars:       32 << 10, VarCount: 256, Content: 64 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
-		Read:       10 * time.Second, Exchange: time.Minute,
+		Exchange:   time.Minute, Newcomer: 10 * time.Millisecond, Quiet: time.Second, Ahead: 5 * time.Second, Behind: 10 * time.Minute,
 		Agree: 5 * time.Second, Beat: time.Second,
 		Write: 3 * time.Second, Dial: time.Second,
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -1,10 +1,14 @@
 package node
 
-import "time"
+import (
+	"crypto/sha256"
+	"time"
+)
 
 // entry is what is known of one key: the try that has it, and once that ran, its result.
 type entry struct {
 	owner   *request
+	digest  [sha256.Size]byte
 	ran     bool
 	from    time.Time // when the try that ran reached the machine
 	over    bool      // its run has ended
@@ -59,7 +63,7 @@
 	case e == nil && t.entries[r.Key] == nil && len(t.entries) >= t.most:
 		return nil
 	case e == nil:
-		e = &entry{owner: r}
+		e = &entry{owner: r, digest: r.digest}
 		t.entries[r.Key] = e
 	case !e.ran:
 		e.owner = r
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -28,6 +29,7 @@
 	Arrived time.Time // when it reached the machine
 	Key     string    // the same for all tries of one keyed request
 	Body    []byte
+	Content []byte // what all tries of one keyed request have in common besides the key
 	Runner  Runner
 }
 
@@ -47,6 +49,7 @@
 	Holdoff time.Duration // Refused: how long to stay away
 	Last    bool          // Refused: no other node will help
 	Late    bool          // Failed: its due time has come
+	Taken   bool          // Failed: its key belongs to another request
 }
 
 // Runner does the work of requests. Its methods must not block; how runs go comes back through Ended and Wants.
@@ -103,6 +106,15 @@
 	wants   uint64 // the notice that asked for the call it stands at; 0: none
 	call    []byte
 	calling bool
+	digest  [sha256.Size]byte // of a keyed request's class and content
+}
+
+// digest tells requests under one key apart.
+func digest(q *Request) [sha256.Size]byte {
+	h := sha256.New()
+	fmt.Fprintln(h, q.Class)
+	h.Write(q.Content)
+	return [sha256.Size]byte(h.Sum(nil))
 }
 
 // Counts are totals since the start, for the log.
@@ -173,6 +185,15 @@
 		return
 	}
 	n.open++
+	if r.Key != "" {
+		r.digest = digest(&q)
+		if e := n.keys.key(r); e != nil && e.digest != r.digest {
+			// Another request under the same key: the first one's result is not its own, and neither must take the
+			// other's place.
+			n.settle(r, Answer{Kind: Failed, Taken: true})
+			return
+		}
+	}
 	n.byID[q.ID] = r
 	r.guard = time.AfterFunc(r.due.Sub(now)+n.grace(), func() { n.overdue(r) })
 	n.enter(r, now)
@@ -217,6 +238,15 @@
 	}
 }
 
+// GiveUp answers a request at once, whatever runs: its front can't wait for more.
+func (n *Node) GiveUp(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.byID[id]; r != nil && !r.settled {
+		n.giveUp(r)
+	}
+}
+
 // settle is the only place that makes a final answer.
 func (n *Node) settle(r *request, a Answer) {
 	if r.settled {
@@ -274,6 +304,8 @@
 	for _, waiting := range n.keys.abandon(r) {
 		n.again(waiting)
 	}
+	// The table of keys holds on to its owners: without what only a request in hand needs.
+	r.Body, r.Content, r.call, r.reply, r.guard = nil, nil, nil, nil, nil
 }
 
 // again hands a request that waited for a try which never ran to the module once more, as a new one.
--- a/internal/resp/describe_test.go
+++ b/internal/resp/describe_test.go
@@ -117,7 +117,7 @@
 		{node.Answer{Kind: node.Failed, Holdoff: time.Second, Last: true}, mood{}, "7 FAIL"},
 	} {
 		f := New(Options{Standing: c.m, Limits: limits.For(64, 256), Log: standin.Quiet})
-		k := &conn{front: f, open: map[string]string{"7": "id"}, writing: true} // nothing is flushed
+		k := &conn{front: f, seat: f.seats.Take(nil), open: map[string]string{"7": "id"}, writing: true} // nothing is flushed
 		k.answer("7", c.a)
 		k.answer("7", c.a) // a second answer must not be written
 		cmd, err := redcon.Parse(k.out)
--- a/internal/resp/frames.go
+++ b/internal/resp/frames.go
@@ -3,10 +3,17 @@
 import (
 	"errors"
 	"net"
+	"os"
+	"time"
+
+	"sloehitch/internal/seats"
 )
 
-// errFrame is bad framing: the connection takes nothing more.
-var errFrame = errors.New("not an array of bulk strings within the limits")
+// Errors after which a connection takes nothing more.
+var (
+	errFrame = errors.New("not an array of bulk strings within the limits")
+	errSlow  = errors.New("a message did not come in time")
+)
 
 // frames checks the framing of a byte stream as it comes. It stands before redcon's reader, which panics on a
 // bulk length near the largest integer, spins on a huge count, takes inline commands, grows its buffer with
@@ -19,6 +26,7 @@
 	digit bool
 	parts int // bulks left in this array
 	size  int // bytes of this array
+	whole int // arrays so far
 }
 
 type frameState int
@@ -72,6 +80,7 @@
 		f.state = wantBulk
 		if f.parts == 0 {
 			f.state = wantArray
+			f.whole++
 		}
 		return c == '\n'
 	case wantBulk:
@@ -106,19 +115,36 @@
 	return f.n <= most
 }
 
-// guarded is a connection whose reads are well framed; after the first byte that is not, they fail.
+// guarded is a connection whose reads are well framed and come in time; after what is not, they fail.
 type guarded struct {
 	net.Conn
 	frames frames
 	bad    error
+	limit  time.Duration // for a message to come whole, and for the first one to come
+	since  time.Time     // when that time began
+	seat   *seats.Seat
 }
 
 func (g *guarded) Read(b []byte) (int, error) {
 	if g.bad != nil {
 		return 0, g.bad
 	}
+	whole, begun := g.frames.whole, g.frames.state != wantArray
+	deadline := time.Time{} // between messages a connection may be quiet for as long as the front lets it
+	if begun || whole == 0 {
+		deadline = g.since.Add(g.limit)
+	}
+	if err := g.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
 	n, err := g.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err, g.bad = errSlow, errSlow
+	}
 	ok, bad := g.frames.check(b[:n])
+	if g.frames.whole > whole || whole > 0 && !begun {
+		g.since = time.Now()
+	}
 	if bad != nil {
 		g.bad = bad // what came whole before it is handed on first
 		if ok == 0 {
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -16,12 +17,14 @@
 	"sloehitch/internal/limits"
 	"sloehitch/internal/lograte"
 	"sloehitch/internal/node"
+	"sloehitch/internal/seats"
 )
 
 // Core is what the front asks of the node.
 type Core interface {
 	Submit(q node.Request, reply func(node.Answer))
 	Gone(id string)
+	GiveUp(id string)
 }
 
 // Standing is what goes with every answer.
@@ -47,6 +50,8 @@
 	opts Options
 	log  *lograte.Logger
 
+	seats *seats.Table
+
 	closed chan struct{}
 
 	mu      sync.Mutex
@@ -56,7 +61,8 @@
 
 // New returns a front that serves nothing yet.
 func New(o Options) *Front {
-	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{})}
+	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{}),
+		seats: seats.New(o.Limits.Connections, o.Limits.Newcomer, o.Limits.Quiet)}
 }
 
 // listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
@@ -77,25 +83,31 @@
 		case err != nil:
 			l.f.log.Warn("accept failed", err)
 			time.Sleep(l.f.opts.Limits.RetryLeast)
-		case l.f.full():
+		case l.f.isLeaving():
 			c.Close() // nothing was read from it, so nothing is owed
 		default:
+			seat := l.f.seats.Take(func() { c.Close() })
+			if seat == nil {
+				c.Close()
+				continue
+			}
 			lim := l.f.opts.Limits
-			return &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame}}, nil
+			return &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
+				limit: lim.Message, since: time.Now(), seat: seat}, nil
 		}
 	}
 }
 
-func (f *Front) full() bool {
+func (f *Front) isLeaving() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns) >= f.opts.Limits.Connections || f.leaving
+	return f.leaving
 }
 
 // Serve serves what comes in on ln until it is closed.
 func (f *Front) Serve(ln net.Listener) error {
 	accept := func(c redcon.Conn) bool {
-		k := &conn{front: f, net: c.NetConn(), open: map[string]string{}, used: time.Now()}
+		k := &conn{front: f, net: c.NetConn(), seat: c.NetConn().(*guarded).seat, open: map[string]string{}, used: time.Now()}
 		c.SetContext(k)
 		f.mu.Lock()
 		f.conns[k] = struct{}{}
@@ -157,7 +169,9 @@
 type conn struct {
 	front  *Front
 	net    net.Conn
+	seat   *seats.Seat
 	served bool // its read loop was entered
+	bad    int  // messages that could not be taken
 
 	mu      sync.Mutex
 	open    map[string]string // tags of open requests to their ids
@@ -181,18 +195,28 @@
 	k.end(err)
 }
 
-// end takes the end of reading. If the peer left, nobody waits for what is open. If it sent what can't be
-// read, that is no reason to lose what it sent before: the connection closes once that is answered.
+// Errors of messages after which a connection takes nothing more.
+var (
+	errTagTwice = errors.New("the tag of an open request, or too many open requests")
+	errTooBad   = errors.New("too many messages that can't be taken")
+	errUnseated = errors.New("its place was given away")
+)
+
+// end takes the end of reading. If the peer left, nobody waits for what is open. If it sent what can't be taken, what
+// it sent before is answered at once, without waiting for runs, and the connection closes.
 func (k *conn) end(err error) {
-	gone := !errors.Is(err, errFrame) && !errors.Is(err, errTag) && !errors.Is(err, errTagTwice)
+	gone := true
+	for _, bad := range []error{errFrame, errSlow, errTag, errTagTwice, errTooBad} {
+		gone = gone && !errors.Is(err, bad)
+	}
 	k.mu.Lock()
 	k.ended = true
 	var ids []string
+	for _, id := range k.open {
+		ids = append(ids, id)
+	}
 	if gone {
 		k.dead = true
-		for _, id := range k.open {
-			ids = append(ids, id)
-		}
 		clear(k.open)
 	}
 	k.closeIfDone()
@@ -203,12 +227,14 @@
 		k.front.opts.Log.Debug("connection lost", "error", err)
 	}
 	for _, id := range ids {
-		k.front.opts.Core.Gone(id)
+		if gone {
+			k.front.opts.Core.Gone(id)
+		} else {
+			k.front.opts.Core.GiveUp(id)
+		}
 	}
 }
 
-var errTagTwice = errors.New("the tag of an open request, or too many open requests")
-
 // message handles one array. An error ends the reading.
 func (k *conn) message(args [][]byte) error {
 	lim := k.front.opts.Limits
@@ -216,49 +242,81 @@
 	if errors.Is(err, errTag) {
 		return err
 	}
-	if err != nil && m.verb != "DO" {
-		k.front.log.Warn("bad message: passed over", err)
-		return nil
-	}
-	switch m.verb {
-	case "PING":
-		word := "GREEN"
-		if !k.front.opts.Standing.Well() {
-			word = "RED"
-		}
-		k.write(m.tag, word, k.signal(), nil, "")
-		return nil
-	case "UNDO":
+	if err == nil && m.verb == "UNDO" {
 		k.undo(m.tag)
 		return nil
 	}
 	k.mu.Lock()
-	if _, twice := k.open[m.tag]; twice || len(k.open) >= lim.OpenPerConn {
+	// Whatever is said under the tag of an open request would be taken for that one's answer.
+	if _, twice := k.open[m.tag]; twice || m.verb == "DO" && len(k.open) >= lim.OpenPerConn {
 		k.mu.Unlock()
 		return errTagTwice
 	}
-	k.open[m.tag] = m.do.req
 	k.used = time.Now()
+	if m.verb == "DO" {
+		k.open[m.tag] = m.do.req
+	}
+	seated := k.seat.Set(k.state())
 	k.mu.Unlock()
-	class, known := k.front.opts.Classes[m.do.class]
-	if err == nil && !known {
-		err = errors.New("unknown class " + strconv.Quote(m.do.class))
+	if !seated {
+		return errUnseated
+	}
+	var q node.Request
+	switch {
+	case m.verb == "DO":
+		if err == nil {
+			q, err = k.request(&m.do)
+		}
+		if err != nil { // it was read, so it is owed an answer; it never ran
+			k.answer(m.tag, node.Answer{Kind: node.Refused})
+		}
+	case err != nil:
+		k.write(m.tag, words[node.Failed], k.signal(), nil, "")
+	default:
+		word := "GREEN"
+		if !k.front.opts.Standing.Well() {
+			word = "RED"
+		}
+		k.write(m.tag, word, k.signal(), nil, "")
+		return nil
 	}
 	if err != nil {
-		// It was read, so it is owed an answer; it never ran.
-		k.front.log.Warn("bad request: refused", err)
-		k.answer(m.tag, node.Answer{Kind: node.Refused})
+		k.front.log.Warn("bad message: turned away", err)
+		if k.bad++; k.bad >= lim.BadPerConn {
+			return errTooBad
+		}
 		return nil
 	}
-	tenant, known := k.front.opts.Tenants[m.do.owner]
+	k.front.opts.Core.Submit(q, func(a node.Answer) { k.answer(m.tag, a) })
+	return nil
+}
+
+// request is what DO asks for in the core's terms, if there can be such a request at all.
+func (k *conn) request(d *do) (node.Request, error) {
+	o := &k.front.opts
+	class, known := o.Classes[d.class]
+	if !known {
+		return node.Request{}, fmt.Errorf("unknown class %.40q", d.class)
+	}
+	tenant, known := o.Tenants[d.owner]
 	if !known {
-		tenant = -1
+		if tenant = -1; len(o.Tenants) > 0 {
+			return node.Request{}, fmt.Errorf("unknown tenant %.40q", d.owner)
+		}
 	}
-	d := m.do
-	k.front.opts.Core.Submit(node.Request{ID: d.req, Class: class, Tenant: tenant, KB: d.need, Hint: d.work, Rank: d.level,
-		Retry: d.resent, Source: d.via, Arrived: d.arrived, Key: d.opkey, Body: d.body, Runner: k.front.opts.Runner},
-		func(a node.Answer) { k.answer(m.tag, a) })
-	return nil
+	if ahead := time.Until(d.arrived); ahead > o.Limits.Ahead || ahead < -o.Limits.Behind {
+		return node.Request{}, fmt.Errorf("a time stamp %v from now", ahead)
+	}
+	return node.Request{ID: d.req, Class: class, Tenant: tenant, KB: d.need, Hint: d.work, Rank: d.level, Retry: d.resent,
+		Source: d.via, Arrived: d.arrived, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner}, nil
+}
+
+// state is what the connection is doing; the caller holds mu.
+func (k *conn) state() seats.State {
+	if len(k.open) > 0 {
+		return seats.Busy
+	}
+	return seats.Idle
 }
 
 func (k *conn) undo(tag string) {
@@ -266,6 +324,7 @@
 	id, known := k.open[tag]
 	delete(k.open, tag)
 	k.used = time.Now()
+	k.seat.Set(k.state())
 	k.closeIfDone()
 	k.mu.Unlock()
 	if known {
@@ -314,6 +373,7 @@
 			return // undone meanwhile
 		}
 		delete(k.open, closes)
+		k.seat.Set(k.state())
 	}
 	k.queue(tag, word, fields, body)
 }
@@ -382,6 +442,7 @@
 	}
 	k.dead = true
 	k.net.Close()
+	k.seat.Leave()
 	k.front.mu.Lock()
 	delete(k.front.conns, k)
 	k.front.mu.Unlock()
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -38,7 +38,7 @@
 	}
 	m := message{verb: string(args[0]), tag: string(args[1])}
 	switch {
-	case m.verb == "UNDO", m.verb == "PING":
+	case (m.verb == "UNDO" || m.verb == "PING") && len(args) <= 3:
 		return m, nil
 	case m.verb != "DO":
 		return m, fmt.Errorf("unknown message %.20q of %d parts", m.verb, len(args))
@@ -74,8 +74,8 @@
 			return fmt.Errorf("field %s: %w", name, err)
 		}
 	}
-	if d.req == "" || d.arrived.IsZero() {
-		return errors.New("req or ts is missing")
+	if d.req == "" || d.arrived.IsZero() || d.need == 0 {
+		return errors.New("req, ts or need is missing")
 	}
 	return nil
 }
@@ -101,13 +101,17 @@
 	case "owner":
 		d.owner = value
 	case "resent":
-		d.resent = value == "1"
+		if d.resent = value == "1"; !d.resent {
+			return fmt.Errorf("%.40q is not 1", value)
+		}
 	case "ms":
 		ms, err := number(value, 1e7)
 		d.work = time.Duration(ms * float64(time.Millisecond))
 		return err
 	case "need":
-		d.need, err = number(value, 2000)
+		if d.need, err = number(value, 2000); err == nil && d.need == 0 {
+			err = errors.New("0")
+		}
 	case "level":
 		d.level, err = number(value, 1)
 	case "opkey":
@@ -121,10 +125,10 @@
 	return err
 }
 
-// number reads a number from 0 up to most.
-func number(s string, most float64) (float64, error) {
+// number reads a number from 0 up to just under the given one.
+func number(s string, under float64) (float64, error) {
 	v, err := strconv.ParseFloat(s, 64)
-	if err != nil || math.IsNaN(v) || v < 0 || v > most {
+	if err != nil || math.IsNaN(v) || v < 0 || v >= under {
 		return 0, fmt.Errorf("bad number %.40q", s)
 	}
 	return v, nil
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -47,6 +47,11 @@
 		{"negative ts", []string{"DO", "7", "book", "req=9b1f03aa5c7e2d41,ts=-1", ""}, false, "7"},
 		{"need not a number", []string{"DO", "7", "book", fine + ",need=NaN", ""}, false, "7"},
 		{"need beyond any memory", []string{"DO", "7", "book", fine + ",need=1e9", ""}, false, "7"},
+		{"need of nothing", []string{"DO", "7", "book", strings.Replace(fine, "24.5", "0.0", 1), ""}, false, "7"},
+		{"no need", []string{"DO", "7", "book", strings.Replace(fine, "need", "nee", 1), ""}, false, "7"},
+		{"level 1", []string{"DO", "7", "book", strings.Replace(fine, "0.6250", "1", 1), ""}, false, "7"},
+		{"resent 2", []string{"DO", "7", "book", strings.Replace(fine, "resent=1", "resent=2", 1), ""}, false, "7"},
+		{"UNDO of parts", []string{"UNDO", "7", "", ""}, false, "7"},
 		{"a field without a value", []string{"DO", "7", "book", fine + ",level", ""}, false, "7"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/seats/seats_test.go
@@ -0,0 +1,52 @@
+package seats
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWhoMakesRoom(t *testing.T) {
+	const old = -time.Minute
+	type other struct {
+		state State
+		since time.Duration // from now
+	}
+	for _, c := range []struct {
+		name   string
+		others []other
+		leaves int // who makes room; -1: nobody, and there is no seat
+	}{
+		{"the longest silent", []other{{Silent, old}, {Silent, 2 * old}, {Idle, 3 * old}}, 1},
+		{"the longest idle", []other{{Idle, old}, {Busy, 3 * old}, {Idle, 2 * old}}, 2},
+		{"idle for a moment only", []other{{Idle, 0}, {Busy, old}, {Busy, old}}, -1},
+		{"all busy", []other{{Busy, old}, {Busy, old}, {Busy, old}}, -1},
+		{"a newcomer, after a moment", []other{{Busy, old}, {Silent, 0}, {Idle, 0}}, 1},
+	} {
+		table := New(len(c.others), 10*time.Millisecond, 10*time.Second)
+		ended := -1
+		var seats []*Seat
+		for i, o := range c.others {
+			s := table.Take(func() { ended = i })
+			s.state, s.since = o.state, time.Now().Add(o.since)
+			seats = append(seats, s)
+		}
+		began := time.Now()
+		s := table.Take(func() {})
+		if (s == nil) != (c.leaves < 0) || ended != c.leaves || table.Len() != len(c.others) {
+			t.Errorf("%s: %d made room, seat %v, %d taken", c.name, ended, s != nil, table.Len())
+		}
+		if s == nil {
+			continue
+		}
+		if v := c.others[c.leaves]; v.state == Silent && v.since == 0 && time.Since(began) < 9*time.Millisecond {
+			t.Errorf("%s: it got no time to speak", c.name)
+		}
+		if seats[c.leaves].Set(Busy) || !s.Set(Busy) {
+			t.Errorf("%s: who made room still has a seat, or the new one has none", c.name)
+		}
+		s.Leave()
+		if table.Len() != len(c.others)-1 {
+			t.Errorf("%s: %d seats taken after one left", c.name, table.Len())
+		}
+	}
+}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -15,6 +15,7 @@
 	"sloehitch/internal/limits"
 	"sloehitch/internal/lograte"
 	"sloehitch/internal/node"
+	"sloehitch/internal/seats"
 )
 
 // Core is what the front asks of the node.
@@ -46,9 +47,9 @@
 	opts   Options
 	log    *lograte.Logger
 	prefix string
+	seats  *seats.Table
 
 	mu     sync.Mutex
-	conns  map[net.Conn]struct{}
 	next   uint64
 	counts Counts
 	wg     sync.WaitGroup
@@ -56,7 +57,8 @@
 
 // New returns a front that serves nothing yet.
 func New(o Options) *Front {
-	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[net.Conn]struct{}{}, prefix: "uwsgi-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
+	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery),
+		seats: seats.New(o.Limits.UwsgiConns, o.Limits.Newcomer, o.Limits.Quiet), prefix: "uwsgi-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
 }
 
 // Serve serves what comes in on ln until it is closed.
@@ -71,26 +73,17 @@
 			time.Sleep(f.opts.Limits.RetryLeast)
 			continue
 		}
-		if !f.add(c) {
-			c.Close() // nothing was read from it, so nothing is owed
+		seat := f.seats.Take(func() { c.Close() }) // of a caller whose request is not whole: nothing is owed
+		if seat == nil {
+			c.Close()
+			f.count(func(n *Counts) { n.Crowded++ })
 			continue
 		}
-		go f.serve(c)
+		f.wg.Add(1)
+		go f.serve(c, seat)
 	}
 }
 
-func (f *Front) add(c net.Conn) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.conns) >= f.opts.Limits.UwsgiConns {
-		f.counts.Crowded++
-		return false
-	}
-	f.conns[c] = struct{}{}
-	f.wg.Add(1)
-	return true
-}
-
 // Totals are the counts so far.
 func (f *Front) Totals() Counts {
 	f.mu.Lock()
@@ -99,11 +92,7 @@
 }
 
 // Open is the number of open connections.
-func (f *Front) Open() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
-}
+func (f *Front) Open() int { return f.seats.Len() }
 
 func (f *Front) count(add func(c *Counts)) {
 	f.mu.Lock()
@@ -112,15 +101,13 @@
 }
 
 // serve reads one request, has it answered and closes the connection.
-func (f *Front) serve(c net.Conn) {
+func (f *Front) serve(c net.Conn, seat *seats.Seat) {
 	defer f.wg.Done()
 	defer func() {
 		c.Close()
-		f.mu.Lock()
-		delete(f.conns, c)
-		f.mu.Unlock()
+		seat.Leave()
 	}()
-	if err := c.SetReadDeadline(time.Now().Add(f.opts.Limits.Read)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(f.opts.Limits.Message)); err != nil {
 		return
 	}
 	p, err := readPacket(c, f.opts.Limits)
@@ -128,8 +115,11 @@
 		f.refuseInput(c, err)
 		return
 	}
+	if !seat.Set(seats.Busy) {
+		return
+	}
 	f.count(func(n *Counts) { n.Read++ })
-	q := node.Request{Body: p.raw, Runner: f.opts.Runner, Arrived: time.Now().Round(0), Source: source(c), Tenant: -1}
+	q := node.Request{Body: p.raw, Content: p.body, Runner: f.opts.Runner, Arrived: time.Now().Round(0), Source: source(c), Tenant: -1}
 	if status := f.opts.Mapper.Map(p.vars, &q); status != 0 {
 		f.write(c, response(status, 0))
 		return
@@ -225,6 +215,8 @@
 		return a.Result
 	case a.Kind == node.Refused:
 		return response(http.StatusServiceUnavailable, a.Holdoff)
+	case a.Taken:
+		return response(http.StatusUnprocessableEntity, 0)
 	case a.Late:
 		return response(http.StatusGatewayTimeout, 0)
 	}
--- a/internal/uwsgi/packet.go
+++ b/internal/uwsgi/packet.go
@@ -22,6 +22,7 @@
 type packet struct {
 	vars map[string]string
 	raw  []byte
+	body []byte // the end of raw
 }
 
 const headerSize = 4 // modifier1, size of the variables in little-endian order, modifier2
@@ -64,7 +65,7 @@
 	if _, err := io.ReadFull(r, raw[headerSize+size:]); err != nil {
 		return nil, unexpected(err)
 	}
-	return &packet{vars: vars, raw: raw}, nil
+	return &packet{vars: vars, raw: raw, body: raw[headerSize+size:]}, nil
 }
 
 // unexpected makes an end inside a packet unlike one before it.
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -118,6 +118,7 @@
 		want string
 	}{
 		{node.Answer{Kind: node.Served, Result: []byte("as it came")}, "as it came"},
+		{node.Answer{Kind: node.Failed, Taken: true}, "HTTP/1.1 422 "},
 		{node.Answer{Kind: node.Refused, Holdoff: 1200 * time.Millisecond}, "Retry-After: 2\r\n"},
 		{node.Answer{Kind: node.Refused}, "HTTP/1.1 503 Service Unavailable\r\n"},
 		{node.Answer{Kind: node.Refused}, "Retry-After: 1\r\n"},
@@ -231,7 +232,7 @@
 
 func TestSlowRequestIsTimedOut(t *testing.T) {
 	k := &core{read: make(chan string, 1)}
-	_, conn := front(t, k, func(l *limits.Limits) { l.Read = 20 * time.Millisecond })
+	_, conn := front(t, k, func(l *limits.Limits) { l.Message = 20 * time.Millisecond })
 	if _, err := io.WriteString(conn, "\x00\x05"); err != nil {
 		t.Fatal(err)
 	}
