Let a call that a tier turned away hold up only its own request

The tier had turned a few calls away in a burst of 0.5 s. Line at fault: logic.go callResult set callsFrom, for all calls, to six mean call times after Full, with a mean that the burst itself had raised to 1 s.

Ruled out: the links (up throughout), the front (the queue was empty when the stall began). A shared dependency keeps the old hold, since it is one place and falls over; a tier has many servers.

--- a/logic/calls_test.go
+++ b/logic/calls_test.go
@@ -147,8 +147,8 @@
 	d.want(out, ActGoOn, 2)
 }
 
-// TestALostReplyHoldsUpNoOtherCall: a call that ended without a reply tells nothing of the tier below. A safe one is
-// made again, one of an effect is not, and the next request's call goes out at once.
+// TestALostReplyHoldsUpNoOtherCall: a call that did not go well tells nothing of the whole tier below. A safe one is
+// made again, one of an effect only if it never ran, and the next request's call goes out at once.
 func TestALostReplyHoldsUpNoOtherCall(t *testing.T) {
 	for _, c := range []struct {
 		outcome Outcome
@@ -157,7 +157,7 @@
 		want    ActionKind // for the request whose reply was lost
 	}{
 		{Reset, 0, 20 * ms, ActCall}, {Failed, 0, 20 * ms, ActCall}, {TimedOut, 0, 3000 * ms, ActCall},
-		{Reset, 1, 20 * ms, ActFail}, {TimedOut, 1, 1500 * ms, ActFail},
+		{Reset, 1, 20 * ms, ActFail}, {TimedOut, 1, 1500 * ms, ActFail}, {Full, 1, 20 * ms, ActCall},
 	} {
 		cfg := testSettings()
 		cfg.CallsShare, cfg.Cores = 0, 8
@@ -169,15 +169,20 @@
 		call(1, 0)
 		d.step(20*ms, Event{Kind: EvCallResult, ID: 1, Outcome: OK, Elapsed: 20 * ms})
 		call(2, c.class)
-		d.want(d.step(20*ms, Event{Kind: EvCallResult, ID: 2, Outcome: c.outcome, Elapsed: c.elapsed}), c.want, 2)
+		out := d.step(20*ms, Event{Kind: EvCallResult, ID: 2, Outcome: c.outcome, Elapsed: c.elapsed})
+		if c.outcome == Full { // it waits for a moment, alone
+			call(4, 1)
+			out = d.step(wakeTicks*4*ms, Event{Kind: EvTimer})
+		}
+		d.want(out, c.want, 2)
 		call(3, 1)
 		if mean := d.s.callTime.mean; mean > float64(callSlow*20*ms) {
 			t.Errorf("%v: calls are taken to last %v", c.outcome, mean)
 		}
-		if c.want != ActCall {
+		if c.class != 0 {
 			continue
 		}
-		out := d.step(20*ms, Event{Kind: EvCallResult, ID: 2, Outcome: c.outcome, Elapsed: c.elapsed})
+		out = d.step(20*ms, Event{Kind: EvCallResult, ID: 2, Outcome: c.outcome, Elapsed: c.elapsed})
 		d.want(out, ActGoOn, 2) // the second time it is left out
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,7 +33,8 @@
 	callsKept    = 4       // calls' time kept back from the least worthy for the most worthy
 	callWeight   = 0.15    // weight of one sample of the call time, or age at reading: few tell of a change
 	callPatience = 6       // a call that may be left out waits this many least call times at most
-	callRepeats  = 1       // times that a safe call without a reply is made again
+	callRepeats  = 1       // times that a safe call which did not go well is made again
+	callBack     = 0.5     // mean call times until a call turned away by a tier is made again, growing
 	callsPart    = 0.5     // share of the room left under the calls bound that one call may take
 	wakeTicks    = 8       // ticks between looks at the clock while work is in hand
 	quotaSlack   = 1.3     // a server's part of a quota over the even one: traffic is uneven
@@ -81,7 +82,8 @@
 	over     bool    // beyond its tenant's quota
 	weight   float64 // of its run's sample
 	callOut  bool
-	lost     int    // calls of its run that ended without a reply
+	lost     int    // calls of its run that did not go well
+	callFrom Micros // its next call is not made before
 	called   Micros // when its call was made
 	reserved Micros // the longest that this call can stay in the dependency's hands
 }
@@ -727,8 +729,8 @@
 }
 
 // callResult goes on after a call. A call of an effect is repeated only if it never ran. A safe one is made
-// once more: its reply may have been lost on the way. What was turned away, unlike what was lost, is a sign
-// of a crowd below, and calls are held back for a while.
+// once more: its reply may have been lost on the way. After one that was turned away a shared dependency gets
+// no calls for a while. A tier has many servers, and most may idle: there only that request waits.
 func (s *Server) callResult(r *request, ev *Event) {
 	if !r.callOut {
 		return
@@ -740,9 +742,13 @@
 		s.resume(r)
 		return
 	}
-	if ev.Outcome.NeverRan() || s.cfg.CallsShare > 0 {
+	r.lost++
+	if s.cfg.CallsShare > 0 {
 		s.callsFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.mean))
-	} else if r.lost++; c.Effect == Safe && r.lost <= callRepeats {
+	} else if ev.Outcome.NeverRan() {
+		r.callFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callBack*float64(r.lost)*s.callTime.mean))
+	}
+	if s.cfg.CallsShare <= 0 && c.Effect == Safe && r.lost <= callRepeats {
 		return
 	}
 	if c.DegradedWorth > 0 {
@@ -814,7 +820,7 @@
 			s.goOn(r)
 		case late:
 			s.giveUp(r)
-		case s.now >= s.callsFrom && span > 0 && wait <= 0:
+		case s.now >= max(s.callsFrom, r.callFrom) && span > 0 && wait <= 0:
 			s.call(r, span)
 		}
 	}
