Let a crowd of silent newcomers no longer stall the accepting of others

The seats were full of connections that had asked once and stayed; seats.go Take then waited 10 ms for each silent newcomer in turn, that is 100 connections a second, while hundreds came. Now some seats are kept for newcomers, and while they have fewer, one that has spoken and idles makes room at once, those that spoke once first.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -73,7 +73,7 @@
 		KeptResult: 16 << 10,
 		Vars:       32 << 10, VarCount: 256, Content: 64 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
-		Exchange:   time.Minute, Newcomer: 10 * time.Millisecond, Quiet: time.Second, Ahead: 5 * time.Second, Behind: 10 * time.Minute,
+		Exchange:   time.Minute, Newcomer: 10 * time.Millisecond, Quiet: 200 * time.Millisecond, Ahead: 5 * time.Second, Behind: 10 * time.Minute,
 		Agree: 5 * time.Second, Beat: time.Second,
 		Write: 3 * time.Second, Dial: time.Second,
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -172,6 +172,7 @@
 	seat   *seats.Seat
 	served bool // its read loop was entered
 	bad    int  // messages that could not be taken
+	spoken int  // messages so far
 
 	mu      sync.Mutex
 	open    map[string]string // tags of open requests to their ids
@@ -253,6 +254,7 @@
 		return errTagTwice
 	}
 	k.used = time.Now()
+	k.spoken++
 	if m.verb == "DO" {
 		k.open[m.tag] = m.do.req
 	}
@@ -316,6 +318,9 @@
 	if len(k.open) > 0 {
 		return seats.Busy
 	}
+	if k.spoken == 1 {
+		return seats.Once
+	}
 	return seats.Idle
 }
 
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -11,7 +11,8 @@
 
 const (
 	Silent State = iota // it has never sent a whole message
-	Idle                // it has, and nothing is open on it
+	Once                // it has sent one, and nothing is open on it
+	Idle                // it has sent more, and nothing is open on it
 	Busy                // something is open on it: it keeps its seat
 )
 
@@ -20,6 +21,7 @@
 	most  int
 	grace time.Duration // a newcomer may be silent for so long before it has to make room
 	idle  time.Duration // and one that has spoken may idle for so long
+	kept  int           // seats for newcomers: while they have fewer, one that has spoken makes room for another
 
 	mu    sync.Mutex
 	taken map[*Seat]struct{}
@@ -35,12 +37,13 @@
 
 // New returns a table with so many seats.
 func New(most int, grace, idle time.Duration) *Table {
-	return &Table{most: most, grace: grace, idle: idle, taken: map[*Seat]struct{}{}}
+	return &Table{most: most, grace: grace, idle: idle, kept: max(1, most/8), taken: map[*Seat]struct{}{}}
 }
 
 // Take seats a connection that end closes. Without a free seat the one that has been silent for longest makes room,
-// or else the one that has idled for longest. It waits for a moment where all who might are newcomers, so that a
-// crowd can't push out one who is about to speak, and returns nil if nobody has to go.
+// unless it is a newcomer that may be about to speak; then one that has spoken and idles does, those that spoke once
+// first. Only if none of them may go, or newcomers have all the seats that are kept for them, it waits for the first
+// newcomer's grace to end. It returns nil if nobody has to go.
 func (t *Table) Take(end func()) *Seat {
 	for {
 		t.mu.Lock()
@@ -50,34 +53,46 @@
 			t.mu.Unlock()
 			return s
 		}
-		victim := t.victim()
-		if victim == nil {
-			t.mu.Unlock()
-			return nil
+		victim, wait := t.victim()
+		if victim != nil && wait <= 0 {
+			delete(t.taken, victim)
 		}
-		if age := time.Since(victim.since); victim.state == Silent && age < t.grace {
-			t.mu.Unlock()
-			time.Sleep(t.grace - age)
-			continue
-		}
-		delete(t.taken, victim)
 		t.mu.Unlock()
-		victim.end()
+		switch {
+		case victim == nil:
+			return nil
+		case wait > 0:
+			time.Sleep(wait)
+		default:
+			victim.end()
+		}
 	}
 }
 
-// victim is who has to make room; the caller holds mu.
-func (t *Table) victim() *Seat {
-	var worst *Seat
+// victim is who has to make room, and when; the caller holds mu.
+func (t *Table) victim() (victim *Seat, wait time.Duration) {
+	var silent, idle *Seat
+	newcomers := 0
+	now := time.Now()
 	for s := range t.taken {
-		if s.state == Busy || s.state == Idle && time.Since(s.since) < t.idle {
-			continue
-		}
-		if worst == nil || s.state < worst.state || s.state == worst.state && s.since.Before(worst.since) {
-			worst = s
+		switch {
+		case s.state == Silent:
+			newcomers++
+			if silent == nil || s.since.Before(silent.since) {
+				silent = s
+			}
+		case s.state == Busy || now.Sub(s.since) < t.idle:
+		case idle == nil || s.state < idle.state || s.state == idle.state && s.since.Before(idle.since):
+			idle = s
 		}
 	}
-	return worst
+	if silent != nil {
+		wait = t.grace - now.Sub(silent.since)
+	}
+	if silent == nil || wait > 0 && idle != nil && newcomers < t.kept {
+		return idle, 0
+	}
+	return silent, wait
 }
 
 // Len is the number of seats taken.
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -20,7 +20,12 @@
 		{"the longest idle", []other{{Idle, old}, {Busy, 3 * old}, {Idle, 2 * old}}, 2},
 		{"idle for a moment only", []other{{Idle, 0}, {Busy, old}, {Busy, old}}, -1},
 		{"all busy", []other{{Busy, old}, {Busy, old}, {Busy, old}}, -1},
+		{"who spoke once before who spoke more", []other{{Idle, 2 * old}, {Once, old}, {Busy, 3 * old}}, 1},
 		{"a newcomer, after a moment", []other{{Busy, old}, {Silent, 0}, {Idle, 0}}, 1},
+		// Waiting for each newcomer in turn would let a crowd of them keep everybody else out.
+		{"not a newcomer while few of them are seated", []other{{Silent, 0}, {Idle, old}, {Busy, old}, {Busy, old}, {Busy, old},
+			{Busy, old}, {Busy, old}, {Busy, old}, {Busy, old}, {Busy, old}, {Busy, old}, {Busy, old}, {Busy, old}, {Busy, old},
+			{Busy, old}, {Busy, old}}, 1},
 	} {
 		table := New(len(c.others), 10*time.Millisecond, 10*time.Second)
 		ended := -1
