Serve what comes within the grace after the notice to leave

Lines at fault: cmd/sloehitch/serve.go leave closed the listeners and asked all callers away at once, and logic.go openness told callers to stay away from the moment of the notice, though what comes within 2 s may still run.

--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -229,20 +229,20 @@
 	}
 }
 
-// leave carries out the notice to leave: callers are sent elsewhere at once, what is in hand goes on, and the end
-// comes when nothing is owed and the callers have closed, or just before the kill.
+// leave carries out the notice to leave. Callers hear of it seconds later, so what comes within the grace is still
+// taken; then they are sent elsewhere, what is in hand goes on, and the end comes when nothing is owed and the callers
+// have closed, or just before the kill.
 func (d *daemon) leave() {
-	kill := time.After(d.platform.Stop() - d.limits.KillSpare/2)
-	d.log.Info("leaving", "stop", d.platform.Stop())
-	owed := d.node.Leave(d.platform.Stop())
+	stop := d.platform.Stop()
+	d.log.Info("leaving", "stop", stop)
+	kill := time.After(stop - d.limits.KillSpare/2)
+	d.node.Leave(stop)
 	d.leaving.Store(true)
 	d.pulse.Close(true)
-	for _, ln := range d.listeners {
-		ln.Close() // a refused connection proves that nothing ran
-	}
-	d.front.Leave()
+	grace := time.After(min(time.Duration(d.platform.Logic.DrainGrace)*time.Microsecond-d.limits.GraceSpare, stop/2))
 	look := time.NewTicker(d.limits.RetryLeast)
 	defer look.Stop()
+	shut := false
 	for {
 		select {
 		case <-kill:
@@ -250,14 +250,16 @@
 			return
 		case <-d.hup: // what is still owed may need the new addresses
 			d.reload()
+		case <-grace:
+			shut = true
+			for _, ln := range d.listeners {
+				ln.Close() // a refused connection proves that nothing ran
+			}
+			d.front.Leave()
 		case <-look.C:
-			select {
-			case <-owed:
-				if d.open() == 0 {
-					d.log.Info("left")
-					return
-				}
-			default:
+			if shut && d.open() == 0 && d.node.Owed() == 0 {
+				d.log.Info("left")
+				return
 			}
 		}
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -50,6 +50,7 @@
 	Closing               time.Duration // for a peer to close a connection after it was asked to
 	KeySlack              time.Duration // added to a key's window: clocks and sockets are not exact
 	DueShare              float64       // of the grace after a due time at which the guard answers
+	GraceSpare            time.Duration // before the end of the drain's grace at which callers are sent elsewhere
 	KillSpare             time.Duration // before the kill at which all that is left is answered
 	Sweep                 time.Duration // between looks for what has expired
 	Orphan                time.Duration // after its due time when a run that never reported is written off
@@ -79,7 +80,7 @@
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
 		CallIdle: time.Second, ReplyRest: time.Second, Message: 2 * time.Second, HandOver: 300 * time.Millisecond, CallSlack: 100 * time.Millisecond,
 		Pulse: 250 * time.Millisecond, Gauges: 700 * time.Millisecond, Closing: 2 * time.Second,
-		KeySlack: 200 * time.Millisecond, DueShare: 0.5, KillSpare: 150 * time.Millisecond,
+		KeySlack: 200 * time.Millisecond, DueShare: 0.5, GraceSpare: 50 * time.Millisecond, KillSpare: 150 * time.Millisecond,
 		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,7 +134,6 @@
 	kill    time.Time
 	open    int // requests that are owed an answer
 	counts  Counts
-	emptied chan struct{} // closed when leaving and nothing is owed any more
 }
 
 // New returns a node; Serve makes it work.
@@ -142,7 +141,7 @@
 	window := func(class int) time.Duration { return span(o.Settings.Classes[class].Window) }
 	return &Node{opts: o, byID: map[string]*request{}, byNum: map[uint64]*request{},
 		log:  lograte.New(o.Log, o.Limits.LogEvery),
-		keys: newKeyTable(o.Limits.Keys, o.Limits.KeySlack, window), emptied: make(chan struct{})}
+		keys: newKeyTable(o.Limits.Keys, o.Limits.KeySlack, window)}
 }
 
 // Serve carries out what the gate decides until the gate is closed.
@@ -275,17 +274,6 @@
 		r.guard.Stop()
 	}
 	n.open--
-	n.checkEmpty()
-}
-
-func (n *Node) checkEmpty() {
-	if n.open == 0 && !n.leaving.IsZero() {
-		select {
-		case <-n.emptied:
-		default:
-			close(n.emptied)
-		}
-	}
 }
 
 // drop forgets a request of which nothing runs and no answer is owed.
@@ -340,9 +328,8 @@
 	}
 }
 
-// Leave is the notice that the process is to be stopped after the given time. The channel is closed once
-// nothing is owed any more.
-func (n *Node) Leave(left time.Duration) <-chan struct{} {
+// Leave is the notice that the process is to be stopped after the given time.
+func (n *Node) Leave(left time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.leaving.IsZero() {
@@ -350,9 +337,14 @@
 		n.kill = n.leaving.Add(left)
 		n.opts.Gate.Report(gate.Leaving(left))
 		time.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
-		n.checkEmpty()
 	}
-	return n.emptied
+}
+
+// Owed is the number of requests that are owed an answer.
+func (n *Node) Owed() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open
 }
 
 // answerAll guards the end of a drain: all that was read is answered before the stop.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -965,7 +965,7 @@
 
 // signal tells health checks of the symptoms of a hang or of failing work, and callers how much to send here.
 func (s *Server) signal() {
-	if well := !s.sick() && s.stale.mean < failShare && s.kill == 0; well != s.healthy {
+	if well := !s.sick() && s.stale.mean < failShare && !s.leaving(); well != s.healthy {
 		s.healthy = well
 		s.do(Action{Kind: ActHealth, On: well})
 	}
@@ -979,10 +979,16 @@
 	}
 }
 
+// leaving says whether callers are to stay away as the server leaves service. What comes within the grace may
+// still run, and callers bear the word in mind for a while: half of the grace is served as ever.
+func (s *Server) leaving() bool {
+	return s.kill > 0 && s.now >= s.drainAt+s.cfg.DrainGrace/2
+}
+
 // openness is the value to say, by what callers do with it.
 func (s *Server) openness() float64 {
 	shut := 0.0
-	if s.sick() || s.kill > 0 {
+	if s.sick() || s.leaving() {
 		shut = shutSick
 	}
 	if s.cfg.Signal == SignalAllowance {
