Repeat keyed starts that a broken runtime link swallowed, and replies only if lost

Of running work the protocol says that nothing happens. So starts can be repeated for keyed work too.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 
 // Runner does the work of requests. Its methods must not block; how runs go comes back through Ended and Wants.
 type Runner interface {
-	Start(id, class string, body []byte, keyed bool)
+	Start(id, class string, body []byte)
 	Stop(id string)
 	Continue(id string)
 	Give(id string, reply []byte)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,14 +20,14 @@
 // recorder is a runner that notes what it was asked for.
 type recorder struct{ asked []string }
 
-func (r *recorder) note(what, id string)                 { r.asked = append(r.asked, what+" "+id) }
-func (r *recorder) Start(id, _ string, _ []byte, _ bool) { r.note("start", id) }
-func (r *recorder) Stop(id string)                       { r.note("stop", id) }
-func (r *recorder) Continue(id string)                   { r.note("continue", id) }
-func (r *recorder) Give(id string, _ []byte)             { r.note("give", id) }
-func (r *recorder) Omit(id string, _ uint64)             { r.note("omit", id) }
-func (r *recorder) String() string                       { return strings.Join(r.asked, ", ") }
-func (r *recorder) Quit(id string)                       { r.note("quit", id) }
+func (r *recorder) note(what, id string)         { r.asked = append(r.asked, what+" "+id) }
+func (r *recorder) Start(id, _ string, _ []byte) { r.note("start", id) }
+func (r *recorder) Stop(id string)               { r.note("stop", id) }
+func (r *recorder) Continue(id string)           { r.note("continue", id) }
+func (r *recorder) Give(id string, _ []byte)     { r.note("give", id) }
+func (r *recorder) Omit(id string, _ uint64)     { r.note("omit", id) }
+func (r *recorder) String() string               { return strings.Join(r.asked, ", ") }
+func (r *recorder) Quit(id string)               { r.note("quit", id) }
 func (r *recorder) Call(id string, _ time.Duration, _ []byte, _ bool, done func(gate.Outcome, time.Duration, []byte)) {
 	r.note("call", id)
 }
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -82,7 +82,7 @@
 	r.stage = runs
 	n.counts.Ran++
 	class := &n.opts.Settings.Classes[r.Class]
-	r.Runner.Start(r.ID, class.Name, r.Body, class.Effect != logic.Safe)
+	r.Runner.Start(r.ID, class.Name, r.Body)
 }
 
 // join serves a request from the result of the try that it repeats, now or when that is over.
--- a/internal/runtime/link.go
+++ b/internal/runtime/link.go
@@ -58,10 +58,13 @@
 }
 
 // job is a run that was asked for and has not ended. What a link that broke may have swallowed is sent again
-// from here, where the protocol makes that harmless.
+// from here. A start can be repeated at any time: the runtime does nothing for a run that is on and calls one that is
+// over moot. A reply could meet the run's next call, so it is only repeated if it may have been lost.
 type job struct {
-	start []byte // nil for work with an effect: it must not be started twice
-	reply []byte // the last answer to a call, until anything more is heard of the run
+	start []byte    // until anything is heard of the run
+	reply []byte    // the last answer to a call, likewise
+	sent  time.Time // when it was
+	ack   uint64    // the gauges whose coming shows that it was taken
 }
 
 // Link keeps a connection to the runtime open, for good.
@@ -84,7 +87,9 @@
 	leaving bool // the address has changed: this link ends once the runtime has taken all that was written
 	whole   bool // the last link ended so: it swallowed nothing
 	closed  bool
-	tag     uint64
+	tag     uint64    // of the gauges asked for last
+	taken   uint64    // and of those that came last
+	broke   time.Time // when the last link ended
 }
 
 // Echoes that show how far the other end is.
@@ -125,14 +130,10 @@
 }
 
 // Start asks for a run.
-func (l *Link) Start(id, class string, body []byte, effect bool) {
+func (l *Link) Start(id, class string, body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	j := &job{}
-	l.jobs[id] = j
-	if line := l.send(command{Action: "start", UID: id, Lane: class, Content: base(body)}); !effect {
-		j.start = line
-	}
+	l.jobs[id] = &job{start: l.send(command{Action: "start", UID: id, Lane: class, Content: base(body)})}
 }
 
 // Stop pauses a run, or ends one whose request is over. Without a link it is left out: the module asks again, and
@@ -169,7 +170,7 @@
 	defer l.mu.Unlock()
 	line := l.send(c)
 	if j := l.jobs[id]; j != nil {
-		j.reply, j.start = line, nil
+		j.reply, j.start, j.sent, j.ack = line, nil, time.Now(), l.tag+1
 	}
 }
 
@@ -271,7 +272,7 @@
 	err := l.read(conn)
 	close(stop)
 	l.mu.Lock()
-	l.conn, l.synced = nil, false
+	l.conn, l.synced, l.broke = nil, false, time.Now()
 	l.whole = errors.Is(err, errMoved)
 	l.cond.Broadcast()
 	l.mu.Unlock()
@@ -356,8 +357,9 @@
 // take handles one notice. An error costs the link, which is then resumed.
 func (l *Link) take(line []byte) error {
 	var m notice
-	if err := json.Unmarshal(line, &m); err != nil {
-		return err
+	var odd *json.UnmarshalTypeError
+	if err := json.Unmarshal(line, &m); err != nil && !(errors.As(err, &odd) && m.Action == "info") {
+		return err // a remark has no meaning, so it may have any form
 	}
 	if m.Pos > 0 && !l.advance(m.Pos) {
 		return nil // read already, on an earlier link
@@ -382,6 +384,7 @@
 		case handOver:
 			return errMoved
 		}
+		l.took(m.Echo)
 		l.opts.Gauges(l.gauges(m.Meters))
 	case "nack":
 		l.log.Warn("the runtime did not carry out a command", fmt.Errorf("%s %s", m.Code, m.UID))
@@ -417,8 +420,16 @@
 	l.cond.Broadcast()
 }
 
-// resend repeats what the broken link may have swallowed: starts of work that may run again, and the replies
-// of runs that have shown no sign of life since.
+// took notes that all commands before these gauges were taken.
+func (l *Link) took(echo string) {
+	if tag, err := strconv.ParseUint(echo, 10, 64); err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.taken = max(l.taken, tag)
+	}
+}
+
+// resend repeats what the broken link may have swallowed of runs that have shown no sign of life since.
 func (l *Link) resend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -427,10 +438,10 @@
 	}
 	l.resent = true
 	for _, j := range l.jobs {
-		for _, line := range [][]byte{j.start, j.reply} {
-			if line != nil {
-				l.queue = append(l.queue, line)
-			}
+		if j.start != nil {
+			l.queue = append(l.queue, j.start)
+		} else if j.reply != nil && (j.ack > l.taken || l.broke.Sub(j.sent) < l.opts.Limits.Swallowed) {
+			l.queue = append(l.queue, j.reply)
 		}
 	}
 	l.cond.Broadcast()
--- a/internal/runtime/link_test.go
+++ b/internal/runtime/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -52,12 +53,12 @@
 		lane string
 		o    gate.Outcome
 	}{{"good", logic.OK}, {"bad", logic.Failed}, {"odd", logic.Failed}} {
-		l.Start(c.lane, c.lane, []byte("a\nb"), false)
+		l.Start(c.lane, c.lane, []byte("a\nb"))
 		if got := <-e.ends; got.id != c.lane || got.o != c.o {
 			t.Errorf("%s: %+v, want %v", c.lane, got, c.o)
 		}
 	}
-	l.Start("x", "calls", nil, true)
+	l.Start("x", "calls", nil)
 	<-e.wants
 	l.Give("x", []byte("reply"))
 	if got := <-e.ends; got.result != "reply" {
@@ -73,16 +74,15 @@
 	if pos := <-rt.Syncs; pos != 0 {
 		t.Errorf("first sync from %d", pos)
 	}
-	l.Start("a", "book", []byte("a"), true)
-	l.Start("b", "slot-search", []byte("b"), false)
+	l.Start("a", "book", []byte("a"))
+	l.Start("b", "slot-search", []byte("b"))
 	for rt.Runs("a")+rt.Runs("b") < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	rt.Cut()
 	close(hold)
 	<-rt.Syncs
-	// Before the break is noticed the old link could swallow this start, which is not repeated for keyed work.
-	l.Start("c", "book", []byte("c"), true)
+	l.Start("c", "book", []byte("c"))
 	seen := map[string]int{}
 	for range 3 {
 		seen[(<-e.ends).id]++
@@ -98,15 +98,88 @@
 	}
 }
 
+// TestABreakSwallowsCommands: starts and replies that were written but not carried out are repeated, keyed ones too,
+// and a reply that was taken is not: it would answer the run's next call.
+func TestABreakSwallowsCommands(t *testing.T) {
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) {
+		return "OK", string(j.Call("one")) + string(j.Call("two"))
+	})
+	l, e := open(t, rt)
+	<-rt.Syncs
+	swallow := func(command func()) {
+		n := rt.Swallow()
+		command()
+		for rt.Swallowed() == n {
+			time.Sleep(time.Millisecond)
+		}
+		rt.Cut()
+		<-rt.Syncs
+	}
+	swallow(func() { l.Start("a", "book", []byte("a")) })
+	<-e.wants
+	swallow(func() { l.Give("a", []byte("1")) })
+	<-e.wants
+	l.Give("a", []byte("2"))
+	if got := <-e.ends; got.result != "12" || rt.Runs("a") != 1 {
+		t.Errorf("result %q after %d runs, want each reply at its call, once", got.result, rt.Runs("a"))
+	}
+}
+
+// TestWhatIsRepeated: what may have been lost with a link is sent again on the next, and nothing else.
+func TestWhatIsRepeated(t *testing.T) {
+	ask := func(l *Link) { l.synced = true; l.Ask(); l.synced = false }
+	echo := func(l *Link) { l.took(strconv.FormatUint(l.tag, 10)) }
+	for _, c := range []struct {
+		name string
+		play func(l *Link)
+		want string
+	}{
+		{"a start", func(l *Link) { l.Start("a", "book", nil) }, "start"},
+		{"a start that was heard of", func(l *Link) { l.Start("a", "book", nil); l.heard("a") }, ""},
+		{"a run that is over", func(l *Link) { l.Start("a", "book", nil); l.over("a") }, ""},
+		{"a reply", func(l *Link) { l.Start("a", "book", nil); ask(l); echo(l); l.Give("a", nil) }, "give"},
+		{"a reply that was taken long ago", func(l *Link) {
+			l.Start("a", "book", nil)
+			l.Give("a", nil)
+			ask(l)
+			echo(l)
+			l.broke = time.Now().Add(time.Minute)
+		}, ""},
+		{"a reply that was taken just before", func(l *Link) { l.Start("a", "book", nil); l.Give("a", nil); ask(l); echo(l) }, "give"},
+		{"a call left out long ago, not known to be taken", func(l *Link) {
+			l.Start("a", "book", nil)
+			ask(l)
+			l.Omit("a", 3)
+			echo(l)
+			l.broke = time.Now().Add(time.Minute)
+		}, "omit"},
+	} {
+		l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet})
+		l.broke = time.Now()
+		c.play(l)
+		l.queue = nil
+		l.resend()
+		var m command
+		if len(l.queue) > 0 {
+			if err := json.Unmarshal(l.queue[0], &m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if m.Action != c.want || len(l.queue) > 1 {
+			t.Errorf("%s: %q is repeated, want %q", c.name, l.queue, c.want)
+		}
+	}
+}
+
 // TestMove: commands on their way when the address changes are carried out once, and notices go on where they were.
 func TestMove(t *testing.T) {
 	hold := make(chan struct{})
 	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { <-hold; return "OK", j.UID })
 	l, e := open(t, rt)
 	<-rt.Syncs
-	l.Start("a", "book", []byte("a"), true)
+	l.Start("a", "book", []byte("a"))
 	l.Move(rt.Another(t))
-	l.Start("b", "book", []byte("b"), true)
+	l.Start("b", "book", []byte("b"))
 	close(hold)
 	<-rt.Syncs
 	for range 2 {
@@ -122,6 +195,10 @@
 }
 
 func TestTakeRefusesGarbage(t *testing.T) {
+	l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet})
+	if err := l.take([]byte(`{"action":"info","pos":1,"code":{"a":[1]},"uid":7}`)); err != nil || l.pos != 1 {
+		t.Errorf("a remark costs the link: %v", err)
+	}
 	for _, line := range []string{"", "{", "[]", `{"action":"wants","pos":1,"content":"%"}`, `{"pos":-1}`} {
 		l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet})
 		l.events = &events{}
@@ -142,7 +219,7 @@
 	l.events, l.synced = e, true
 	pos := uint64(7)
 	l.queue = append(l.queue, encode(command{Action: "sync", Pos: &pos}))
-	l.Start("a", "book", nil, true)
+	l.Start("a", "book", nil)
 	l.Stop("a")
 	l.Continue("a")
 	l.Give("a", []byte("reply"))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -63,6 +63,8 @@
 	runs    map[string]int
 	now     int
 	most    int
+	deaf    bool // commands are read and not carried out
+	lost    int  // how many were
 	work    func(j *Job) (code, result string)
 }
 
@@ -104,12 +106,14 @@
 		j := rt.jobs[m.UID]
 		switch {
 		case m.Action == "sync":
-			rt.conn = conn
+			rt.conn, rt.deaf = conn, false
 			rt.write(map[string]any{"action": "ready", "code": "WARM", "wall_ms": 1})
 			for _, n := range rt.notices[m.Pos:] {
 				rt.write(n)
 			}
 			rt.Syncs <- m.Pos
+		case rt.deaf:
+			rt.lost++
 		case m.Action == "gauges":
 			rt.write(map[string]any{"action": "load", "echo": m.Echo, "meters": []float64{0.5, float64(rt.now), 0.1, 3}})
 		case m.Action == "start" && j == nil:
@@ -151,6 +155,21 @@
 	}
 }
 
+// Swallow makes the runtime lose all commands until the next link, and returns how many it has lost before.
+func (rt *Runtime) Swallow() int {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.deaf = true
+	return rt.lost
+}
+
+// Swallowed is how many commands were lost.
+func (rt *Runtime) Swallowed() int {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	return rt.lost
+}
+
 // Cut breaks the link.
 func (rt *Runtime) Cut() {
 	rt.mu.Lock()
--- a/internal/uwsgi/servers.go
+++ b/internal/uwsgi/servers.go
@@ -59,7 +59,7 @@
 }
 
 // Start runs a request: body is its packet, sent as it came.
-func (s *Servers) Start(id, _ string, body []byte, _ bool) {
+func (s *Servers) Start(id, _ string, body []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := &exchange{}
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -286,7 +286,7 @@
 			s.Use(c.servers)
 			s.Serve(e)
 			before := up.Runs(c.body)
-			s.Start("1", "", []byte(packetOf(t, c.body, [2]string{"CONTENT_LENGTH", "4"})), true)
+			s.Start("1", "", []byte(packetOf(t, c.body, [2]string{"CONTENT_LENGTH", "4"})))
 			if c.stop {
 				waitFor(t, func() bool { return up.Runs(c.body) > before })
 				s.Stop("1")
