--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,13 +16,15 @@
 const (
 	meanWeight   = 0.1     // weight of one sample in T_m (the paper's alpha): work varies from run to run
 	probeWeight  = 0.5     // weight of a probe's sample: few come, and each tells of a change
-	aimShare     = 0.75    // D1 as a share of the aim: room for runs longer than T_m and for the way back
-	lateShare    = 0.85    // D2 as a share of the aim, or of a later instant where late answers have worth
+	aimShare     = 0.65    // D1 as a share of the aim: room for runs longer than T_m and for the way back
+	idleShare    = 0.9     // and on a server with an idle core
+	slopeMost    = 2       // run time for each unit of hint that one sample may suggest
+	lateShare    = 0.75    // D2 as a share of the aim, or of a later instant where late answers have worth
 	queuedShare  = 0.02    // a request waits this share of its aim before it may be refused as hopeless
 	stallFloor   = 100000  // least completion gap that may be a stall (the paper's 100 ms)
 	stallGaps    = 6       // a stall is a gap of this many mean gaps, so that thin traffic is none
 	limitCut     = 0.75    // factor on the limit when runs slow each other
-	slowRuns     = 1.5     // recent mean over long mean run time that counts as slowed
+	slowRuns     = 1.3     // recent mean over long mean run time that counts as slowed
 	crowdShare   = 0.75    // share of the crowd that the server survives which may run at once
 	memoryShare  = 0.92    // share of the memory that may be planned; the rest covers late news
 	callsMost    = 0.8     // share of the calls bound that is planned while calls take their least time
@@ -49,7 +51,7 @@
 	toldLately   = 512     // arrivals over which the told shares of the deadline are counted
 	toldOrdinary = 0.05    // part of the arrivals with a told share from which it is one of first tries
 	idleParts    = 4       // longest idle span over the one kept where all callers come back
-	lastShare    = 0.1     // refused share from which a further try elsewhere is taken to be in vain
+	lastShare    = 0.6     // refused share from which a further try elsewhere is taken to be in vain
 	valveStep    = 0.4     // relative change of the idle span a look, for each unit of intake off its share
 	valveShare   = 0.35    // share of the cores that intake may take before the table is let fill
 	shutMost     = 0.9     // share of the traffic that a backlog keeps away at most
@@ -419,7 +421,9 @@
 	}
 	hint := float64(r.Hint)
 	if c.hinted.n == 0 {
-		c.cov, c.spread = hint*elapsed/4, hint*hint/4 // at first in proportion to the hint
+		// At first in proportion to the hint, but no more than that many times: the rest is waits.
+		c.cov, c.spread = min(hint*elapsed, slopeMost*hint*hint)/4, hint*hint/4
+		c.hint.mean, c.hinted.mean = hint, elapsed // one sample has no spread of its own
 	}
 	off := hint - c.hint.mean
 	c.cov += r.weight * (off*(elapsed-c.hinted.mean) - c.cov)
@@ -447,10 +451,14 @@
 	c := s.classes[r.Class]
 	aim := float64(c.Aim) + c.AimStretch*float64(r.Hint)
 	aim = min(aim, float64(c.Deadline))
+	share := lateShare
+	if s.running < s.cfg.Cores { // nobody else would have the core: what may still make it is worth a run
+		share = idleShare
+	}
 	late := aim + c.LateWorth*(float64(c.Deadline)-aim) // the less it earns late, the sooner it goes
 	told := float64(r.due - r.arrived)
 	from, first := float64(r.arrived), float64(r.first)
-	return min(first+aim*aimShare, from+told*lateShare), min(first+late*lateShare, from+told*lateShare)
+	return min(first+aim*aimShare, from+told*lateShare), min(first+late*share, from+told*share)
 }
 
 // meets reports whether a request that starts after the given wait would be ready by the bound.
