--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,7 +22,8 @@
 	Backlog    int // answer bytes that a peer may leave unread
 	NoticeLine int // bytes of one line from the runtime
 
-	KeptResult int // bytes of a result that is kept for repeats
+	KeptResult  int // bytes of a result that is kept for repeats
+	KeptResults int // and of all of them together
 
 	Vars       int // bytes of a uwsgi packet's variables
 	VarCount   int // and their number
@@ -72,8 +73,8 @@
 		Keys:      int(memory / 4 / (8 << 10)),
 		Body:      2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
 		Backlog: 512 << 10, NoticeLine: 64 << 10,
-		KeptResult: 16 << 10,
-		Vars:       32 << 10, VarCount: 256, Content: 64 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
+		KeptResult: 16 << 10, KeptResults: int(memory / 8),
+		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
 		Exchange:   time.Minute, Newcomer: 10 * time.Millisecond, Quiet: 200 * time.Millisecond, Ahead: 5 * time.Second, Behind: 10 * time.Minute,
 		Agree: 5 * time.Second, Beat: time.Second,
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -22,12 +22,13 @@
 type keyTable struct {
 	entries map[string]*entry
 	most    int
+	room    int // bytes left for results
 	slack   time.Duration
 	window  func(class int) time.Duration
 }
 
-func newKeyTable(most int, slack time.Duration, window func(class int) time.Duration) *keyTable {
-	return &keyTable{entries: map[string]*entry{}, most: most, slack: slack, window: window}
+func newKeyTable(most, room int, slack time.Duration, window func(class int) time.Duration) *keyTable {
+	return &keyTable{entries: map[string]*entry{}, most: most, room: room, slack: slack, window: window}
 }
 
 // live says whether a try that arrived at the given time falls into the window of the one that ran.
@@ -64,6 +65,7 @@
 		return nil
 	case e == nil:
 		e = &entry{owner: r, digest: r.digest}
+		t.remove(r.Key) // one whose window is over
 		t.entries[r.Key] = e
 	case !e.ran:
 		e.owner = r
@@ -92,7 +94,7 @@
 	if e.owner != r || e.ran {
 		return nil
 	}
-	delete(t.entries, r.Key)
+	t.remove(r.Key)
 	return e.waiting
 }
 
@@ -101,7 +103,24 @@
 	for key, e := range t.entries {
 		// Tries are told apart by when they reached the machine, and may be read seconds after that.
 		if e.ran && e.over && now.After(e.from.Add(t.window(e.owner.Class)+20*t.slack)) {
-			delete(t.entries, key)
+			t.remove(key)
 		}
 	}
 }
+
+// keep holds a result for repeats if there is room for it.
+func (t *keyTable) keep(e *entry, result []byte, most int) bool {
+	if len(result) > min(most, t.room) {
+		return false
+	}
+	t.room -= len(result)
+	e.result = result
+	return true
+}
+
+func (t *keyTable) remove(key string) {
+	if e := t.entries[key]; e != nil {
+		t.room += len(e.result)
+		delete(t.entries, key)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,7 +141,7 @@
 	window := func(class int) time.Duration { return span(o.Settings.Classes[class].Window) }
 	return &Node{opts: o, byID: map[string]*request{}, byNum: map[uint64]*request{},
 		log:  lograte.New(o.Log, o.Limits.LogEvery),
-		keys: newKeyTable(o.Limits.Keys, o.Limits.KeySlack, window)}
+		keys: newKeyTable(o.Limits.Keys, o.Limits.KeptResults, o.Limits.KeySlack, window)}
 }
 
 // Serve carries out what the gate decides until the gate is closed.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -218,6 +218,29 @@
 	}
 }
 
+// TestKeptResultsAreBounded: a result beyond the room is not kept, so its repeat fails; what expires makes room again.
+func TestKeptResultsAreBounded(t *testing.T) {
+	b := newBench(t)
+	b.keys.room = 5
+	run := func(id, key string) {
+		b.submit(id, 1, key, 0)
+		b.decide(id, gate.Run)
+		b.Ended(id, logic.OK, 0, []byte("four"))
+	}
+	for i, want := range []string{"[served four]", "[served four]", "[served four]", "[failed ]"} {
+		id := fmt.Sprint(i)
+		run(id, []string{"k", "l", "k", "l"}[i])
+		if got := fmt.Sprint(b.answers[id]); got != want {
+			t.Errorf("%d: %s, want %s", i, got, want)
+		}
+	}
+	b.clock.now = b.clock.now.Add(time.Hour)
+	b.Sweep()
+	if run("5", "l"); b.keys.room != 1 || len(b.keys.entries) != 1 || b.work.String() != "start 0, start 1, start 5" {
+		t.Errorf("%d bytes left, %d keys after an hour; %s", b.keys.room, len(b.keys.entries), b.work)
+	}
+}
+
 // TestTablesAreBounded: neither a crowd of requests nor one of keys may take more than its limit.
 func TestTablesAreBounded(t *testing.T) {
 	b := newBench(t)
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -140,17 +140,15 @@
 			e.ran = false // nothing was started: drop hands the key to whoever waits
 		} else {
 			e.over, e.served = true, o == logic.OK
-			if e.served {
-				e.result = result
-			}
+			e.result = result
 			waiting := e.waiting
 			e.waiting = nil
 			for _, w := range waiting {
 				n.finishJoin(w, e)
 			}
-			if len(result) > n.opts.Limits.KeptResult {
-				e.served, e.result = false, nil // later repeats fail: it must not run again
-			}
+			e.result = nil
+			// Without its result later repeats fail: it must not run again.
+			e.served = e.served && n.keys.keep(e, result, n.opts.Limits.KeptResult)
 		}
 	}
 	n.drop(r)
