Keep an evicted connection's last message from ending another caller's request

Seen by reading: resp/front.go message noted a request as open before it asked for its seat; on a connection that has just made room, end would then tell the core that this id is over. Bad clients send ids of open requests, so the id may be another caller's.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -345,6 +345,30 @@
 	}
 }
 
+// TestReloadOfServers: the list of uwsgi servers follows the file too, unless operators have set another.
+func TestReloadOfServers(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	var servers []string
+	for _, name := range []string{"first", "second", "third"} {
+		servers = append(servers, standin.NewServer(t, func(string) string { return "HTTP/1.1 200 OK\r\n\r\n" + name }).Address)
+	}
+	s := serveNode(t, ample, rt, servers[0])
+	for _, c := range []struct{ file, set, want string }{
+		{servers[0], "", "first"}, {servers[1], "", "second"}, {servers[0], servers[2], "third"}, {servers[0], "", "first"},
+	} {
+		if err := s.store.Set(store.UwsgiServers, c.set); err != nil {
+			t.Fatal(err)
+		}
+		s.load = func() (*loaded, error) {
+			return &loaded{platform: s.platform, deploy: &config.Deploy{Uwsgi: config.Uwsgi{Listen: s.uwsgi, Servers: []string{c.file}}}}, nil
+		}
+		s.reload()
+		if got := ask(t, s.uwsgi, "", get("/slots")...); !strings.HasSuffix(got, c.want) {
+			t.Errorf("file %s, set %q: %q", c.file, c.set, got)
+		}
+	}
+}
+
 // TestUwsgiRefusalsAndErrors: the second front keeps the first rule with the answers of its own protocol.
 func TestUwsgiRefusalsAndErrors(t *testing.T) {
 	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -259,6 +259,9 @@
 		k.open[m.tag] = m.do.req
 	}
 	seated := k.seat.Set(k.state())
+	if !seated {
+		delete(k.open, m.tag) // the core never hears of it: its id may be that of another's request
+	}
 	k.mu.Unlock()
 	if !seated {
 		return errUnseated
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
 	"sloehitch/internal/standin"
 )
 
@@ -173,3 +174,25 @@
 		}
 	})
 }
+
+// told is a core that notes which requests it is told are over.
+type told struct{ gone []string }
+
+func (*told) Submit(node.Request, func(node.Answer)) {}
+func (c *told) Gone(id string)                       { c.gone = append(c.gone, id) }
+func (c *told) GiveUp(id string)                     { c.gone = append(c.gone, id) }
+
+// TestAMessageAfterTheSeatIsGone: what comes as a connection makes room is not taken, and its end says nothing of the
+// request that it names, which may be another caller's.
+func TestAMessageAfterTheSeatIsGone(t *testing.T) {
+	c := &told{}
+	f := New(Options{Core: c, Standing: mood{}, Limits: limits.For(64, 256), Log: standin.Quiet})
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	k := &conn{front: f, net: ours, seat: f.seats.Take(func() {}), open: map[string]string{}}
+	k.seat.Leave()
+	err := k.message([][]byte{[]byte("DO"), []byte("7"), []byte("book"), []byte(fine), nil})
+	if k.end(err); !errors.Is(err, errUnseated) || len(c.gone) > 0 {
+		t.Errorf("%v, told that %v are over", err, c.gone)
+	}
+}
