Add the ledger: a store that comes back consistent after any cut

Need: a node that is killed forgets which bookings it ran, and a repeat within the window runs a second time.

The design note has the options considered, docs/format-ledger.md the bytes. The daemon does not use it yet.

--- /dev/null
+++ b/internal/ledger/backup.go
@@ -0,0 +1,87 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/ledger/format"
+)
+
+// Backup copies the store as it is at one moment into another, empty folder while it goes on serving. The copy is a store of its own
+// with the same id, and is whole once its manifest is there, which comes last.
+func (s *Store) Backup(to disk.FS) (bytes int64, err error) {
+	names, err := to.List()
+	if err != nil {
+		return 0, err
+	}
+	for _, name := range names {
+		if _, ok := number(name); ok || name == manifestName {
+			return 0, fmt.Errorf("%s: not empty: it holds %s", to, name)
+		}
+	}
+	if !s.opts.ReadOnly {
+		if err := s.Sync(); err != nil {
+			return 0, err
+		}
+	}
+	s.meta.Lock()
+	all := append(s.sealed[:len(s.sealed):len(s.sealed)], s.active)
+	if s.active == nil {
+		all = all[:len(all)-1]
+	}
+	m := s.next(all, nil) // their sizes are those of this moment, and end with whole groups
+	for _, g := range all {
+		g.acquire()
+	}
+	s.meta.Unlock()
+	defer func() {
+		for _, g := range all {
+			g.release()
+		}
+	}()
+	var total int64
+	for _, e := range m.Segments {
+		total += e.Size
+	}
+	var kept []format.Entry
+	for i, g := range all {
+		e := m.Segments[i]
+		if e.Least == 0 {
+			continue // no record in it
+		}
+		if err := copySegment(to, g, e.Size); err != nil {
+			return bytes, fmt.Errorf("%s: %w", g.name, err)
+		}
+		bytes += e.Size
+		s.opts.Step("backup", bytes, total)
+		kept = append(kept, e)
+	}
+	m.Segments = kept
+	if err := to.SyncDir(); err != nil {
+		return bytes, err
+	}
+	return bytes, writeManifest(to, m)
+}
+
+// copySegment copies the first bytes of a segment durably.
+func copySegment(to disk.FS, g *segment, size int64) (err error) {
+	f, err := to.Create(g.name)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	buf := make([]byte, min(size, 1<<20))
+	for off := int64(0); off < size; {
+		b := buf[:min(size-off, int64(len(buf)))]
+		if _, err := io.ReadFull(io.NewSectionReader(g.file, off, size-off), b); err != nil {
+			return err
+		}
+		if _, err := f.WriteAt(b, off); err != nil {
+			return err
+		}
+		off += int64(len(b))
+	}
+	return f.Sync()
+}
--- /dev/null
+++ b/internal/ledger/errors.go
@@ -0,0 +1,41 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+)
+
+// What a call may be refused with; errors.Is tells them apart.
+var (
+	ErrNotFound  = errors.New("no such key")
+	ErrClosed    = errors.New("the ledger is closed")
+	ErrReadOnly  = errors.New("the ledger was opened to read only")
+	ErrTooLarge  = errors.New("larger than the ledger's limits allow")
+	ErrIndexFull = errors.New("no room for more keys in memory")
+	ErrBusy      = errors.New("too much waits for a flush already")
+	ErrFull      = errors.New("no space left for the ledger's files")
+	// ErrNotWritten says that nothing of the batch was kept; it may be tried again.
+	ErrNotWritten = errors.New("the batch was not written")
+	// ErrUnknown says that a flush failed: the batch may turn up after a restart, or not.
+	ErrUnknown = errors.New("it can't be known whether the batch is durable")
+	// ErrBroken says that a flush failed earlier: nothing is written until the ledger is opened anew.
+	ErrBroken = errors.New("the ledger takes no writes since a flush failed")
+)
+
+// Damage says that a file is not as this program, cut off at any moment, could have left it.
+type Damage struct {
+	File   string
+	Offset int64
+	What   string
+	Do     string // the remedy
+}
+
+const remedy = "restore a backup, or save what can be read with `sloehitch ledger repair`"
+
+func (d *Damage) Error() string {
+	return fmt.Sprintf("%s: damaged at offset %d: %s; %s", d.File, d.Offset, d.What, d.Do)
+}
+
+func damage(file string, offset int64, format string, args ...any) *Damage {
+	return &Damage{file, offset, fmt.Sprintf(format, args...), remedy}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,358 @@
+// Package ledger is a small embedded store that comes back consistent after any cut: a log of segments, an ordered index
+// in memory, compaction, recovery. What it acknowledges is durable. docs/design/ledger.md has the reasons,
+// docs/format-ledger.md the bytes.
+package ledger
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/tidwall/btree"
+
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/ledger/format"
+	"sloehitch/internal/ledger/plan"
+	"sloehitch/internal/limits"
+)
+
+// Options say how a ledger is kept.
+type Options struct {
+	Limits limits.Ledger
+	// Flush is how often what was written is flushed. 0: before it is acknowledged. Above 0 a cut may take what was
+	// acknowledged in the last Flush with it, in the order of the writes.
+	Flush time.Duration
+	// ReadOnly opens without lock and changes nothing; the folder may be in use by another process.
+	ReadOnly bool
+	// Manual leaves compactions and marks of the clock to the caller.
+	Manual bool
+	Now    func() time.Time                  // the Unix clock; nil: the system's
+	Log    *slog.Logger                      // nil: none
+	Step   func(what string, done, of int64) // is told of the progress of long work, in bytes; nil: nobody
+}
+
+// Recovery says what Open found.
+type Recovery struct {
+	Fresh    bool          `json:"fresh"` // the folder was empty
+	Segments int           `json:"segments"`
+	Records  int           `json:"records"` // read
+	Keys     int           `json:"keys"`
+	Bytes    int64         `json:"bytes"`
+	Torn     int64         `json:"torn_bytes"` // cut off at the end of the active segment: never acknowledged
+	TornFile string        `json:"torn_file,omitempty"`
+	TornAt   int64         `json:"torn_at,omitempty"`
+	Stray    int           `json:"stray_files"` // files swept away that no manifest lists
+	Took     time.Duration `json:"took_ns"`
+}
+
+// place is where the newest record of a key stands.
+type place struct {
+	seg    *segment
+	seq    uint64
+	expiry int64
+	off    uint32
+	size   uint32
+}
+
+// keyCost is what a key takes in memory beside its own bytes: its place in the tree and the tree's slack, rounded up
+// from what BenchmarkMemoryPerKey measures.
+const keyCost = 96
+
+func cost(key string) int64 { return keyCost + int64(len(key)) }
+
+// Store is an open ledger. Its methods may be called from any goroutine.
+type Store struct {
+	fs   disk.FS
+	opts Options
+
+	mu      sync.RWMutex // guards the index, the figures of segments, mark and broken
+	index   *btree.Map[string, place]
+	keys    int64 // bytes of memory that the index takes
+	mark    int64 // the clock as last made durable
+	soonest int64 // no key expires before this
+	broken  error
+	counts  counters
+
+	id format.ID // of the store; set by Open
+
+	meta     sync.Mutex // guards the manifest: what follows, and each replacement of the file
+	manifest format.Manifest
+	sealed   []*segment
+	active   *segment
+
+	compacting sync.Mutex // one compaction at a time
+
+	w         writer
+	unlock    func() error
+	closing   chan struct{}
+	closeOnce sync.Once
+	closeErr  error
+	kick      chan struct{} // there may be something to compact
+	jobs      sync.WaitGroup
+	recovery  Recovery
+}
+
+type counters struct {
+	puts, deletes, batches, groups, flushes, compactions uint64
+	written, packed                                      int64 // bytes: by writers, by compactions
+	asked                                                int64 // bytes of records that writers asked for
+}
+
+func isNotExist(err error) bool { return errors.Is(err, fs.ErrNotExist) }
+
+// decoder is one for all: its DecodeAll may be called from several goroutines.
+var decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
+	return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true))
+})
+
+func newID() (id format.ID) {
+	_, _ = rand.Read(id[:]) // never fails: crypto/rand's word
+	return id
+}
+
+// Open opens the folder, recovers what it holds and says how that went. It reads all segments. The error is a *Damage
+// where the files are not as a cut could have left them; it wraps disk.ErrLocked where another process has the folder.
+func Open(fsys disk.FS, o Options) (*Store, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Step == nil {
+		o.Step = func(string, int64, int64) {}
+	}
+	s := &Store{fs: fsys, opts: o, index: &btree.Map[string, place]{}, closing: make(chan struct{}), kick: make(chan struct{}, 1)}
+	s.w.init()
+	if o.ReadOnly {
+		return s, s.look()
+	}
+	unlock, err := fsys.Lock("LOCK", disk.Owner())
+	if err != nil {
+		return nil, err
+	}
+	s.unlock = unlock
+	if err := s.recover(); err != nil {
+		s.release()
+		return nil, errors.Join(err, unlock())
+	}
+	s.jobs.Go(s.write)
+	if !o.Manual {
+		s.jobs.Go(s.tend)
+	}
+	return s, nil
+}
+
+// Recovery is what Open found.
+func (s *Store) Recovery() Recovery { return s.recovery }
+
+// Close flushes what is queued, ends and lets others at the folder. Calls after it get ErrClosed. It may be called twice.
+func (s *Store) Close() error {
+	s.closeOnce.Do(func() {
+		s.w.close()
+		close(s.closing)
+		s.jobs.Wait()
+		s.release()
+		if s.unlock != nil {
+			s.closeErr = s.unlock()
+		}
+	})
+	return s.closeErr
+}
+
+// release lets go of all segments.
+func (s *Store) release() {
+	s.meta.Lock()
+	defer s.meta.Unlock()
+	for _, g := range s.sealed {
+		g.release()
+	}
+	if s.active != nil {
+		s.active.release()
+	}
+	s.sealed, s.active = nil, nil
+}
+
+// gone says whether a key's time is over by the store's clock.
+func gone(p place, mark int64) bool { return p.expiry != 0 && p.expiry <= mark }
+
+// Get returns the value of a key, or ErrNotFound. It reads one record from the disk.
+func (s *Store) Get(key []byte) ([]byte, error) {
+	s.mu.RLock()
+	p, ok := s.index.Get(string(key))
+	if !ok || gone(p, s.mark) {
+		s.mu.RUnlock()
+		return nil, ErrNotFound
+	}
+	p.seg.acquire()
+	s.mu.RUnlock()
+	defer p.seg.release()
+	r, err := p.seg.read(int64(p.off), int(p.size))
+	return r.Value, err
+}
+
+// Has says whether a key is there, without a look at the disk.
+func (s *Store) Has(key []byte) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	p, ok := s.index.Get(string(key))
+	return ok && !gone(p, s.mark)
+}
+
+// Put makes a value durable. A zero expiry means never; else the key is gone at some time in [expiry, expiry + limits.Mark] by
+// the Unix clock, to the millisecond.
+func (s *Store) Put(key, value []byte, expiry time.Time) error {
+	var b Batch
+	b.Put(key, value, expiry)
+	return s.Apply(&b)
+}
+
+// Delete makes a key's removal durable. It is no error if the key isn't there.
+func (s *Store) Delete(key []byte) error {
+	var b Batch
+	b.Delete(key)
+	return s.Apply(&b)
+}
+
+// Snapshot is the store as it was at one moment. It must be closed: until then the files that it reads stay open.
+type Snapshot struct {
+	index *btree.Map[string, place]
+	mark  int64
+	segs  []*segment
+	once  sync.Once
+}
+
+// Snapshot takes one; that costs the same however large the store is. Writers pay for copies of what they change while it is open.
+func (s *Store) Snapshot() (*Snapshot, error) {
+	s.meta.Lock() // so that no segment goes meanwhile
+	defer s.meta.Unlock()
+	if s.active == nil && s.sealed == nil && s.isClosed() {
+		return nil, ErrClosed
+	}
+	n := &Snapshot{}
+	for _, g := range s.sealed {
+		g.acquire()
+		n.segs = append(n.segs, g)
+	}
+	if s.active != nil {
+		s.active.acquire()
+		n.segs = append(n.segs, s.active)
+	}
+	s.mu.Lock() // Copy marks the tree's nodes as shared
+	n.index, n.mark = s.index.Copy(), s.mark
+	s.mu.Unlock()
+	return n, nil
+}
+
+func (s *Store) isClosed() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
+// Close lets go of the files.
+func (n *Snapshot) Close() {
+	n.once.Do(func() {
+		for _, g := range n.segs {
+			g.release()
+		}
+	})
+}
+
+// Get returns the value of a key, or ErrNotFound.
+func (n *Snapshot) Get(key []byte) ([]byte, error) {
+	p, ok := n.index.Get(string(key))
+	if !ok || gone(p, n.mark) {
+		return nil, ErrNotFound
+	}
+	r, err := p.seg.read(int64(p.off), int(p.size))
+	return r.Value, err
+}
+
+// Pair is a key with its value.
+type Pair struct {
+	Key, Value []byte
+	Expiry     time.Time // zero: never
+}
+
+// Scan hands all pairs whose key begins with prefix to fn in the order of the keys, until fn returns an error, which Scan
+// returns.
+func (n *Snapshot) Scan(prefix []byte, fn func(Pair) error) (err error) {
+	from := string(prefix)
+	n.index.Ascend(from, func(key string, p place) bool {
+		if !strings.HasPrefix(key, from) {
+			return false
+		}
+		if gone(p, n.mark) {
+			return true
+		}
+		var r format.Record
+		if r, err = p.seg.read(int64(p.off), int(p.size)); err != nil {
+			return false
+		}
+		err = fn(Pair{r.Key, r.Value, fromMillis(r.Expiry)})
+		return err == nil
+	})
+	return err
+}
+
+// Scan is a snapshot's Scan.
+func (s *Store) Scan(prefix []byte, fn func(Pair) error) error {
+	n, err := s.Snapshot()
+	if err != nil {
+		return err
+	}
+	defer n.Close()
+	return n.Scan(prefix, fn)
+}
+
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(t.UnixMilli(), 1)
+}
+
+func fromMillis(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// fail notes that the disk can't be trusted with writes any more.
+func (s *Store) fail(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.broken == nil {
+		s.broken = fmt.Errorf("%w: %w", ErrBroken, err)
+		s.opts.Log.Error("the ledger takes no more writes until it is opened anew", "folder", s.fs.String(), "error", err)
+	}
+	return s.broken
+}
+
+// Err says why the store takes no writes; nil while it does.
+func (s *Store) Err() error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.broken
+}
+
+// figures are the sealed segments as the choice of a compaction sees them; the caller holds meta.
+func (s *Store) figures(of []*segment) (list []plan.Segment) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, g := range of {
+		list = append(list, plan.Segment{Number: g.number, Bytes: g.size, Raw: g.raw, Dead: g.dead, Least: g.least, High: g.high, Tombs: g.tombs})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/ledger/segment.go
@@ -0,0 +1,434 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync/atomic"
+
+	"github.com/klauspost/compress/zstd"
+
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/ledger/format"
+)
+
+// segment is one file of records. Its figures are guarded by the store's mu.
+type segment struct {
+	number uint64
+	name   string
+	store  format.ID
+	file   disk.File
+	salt   uint32
+	cold   bool
+	size   int64   // bytes on disk that count
+	blocks []block // cold: where they are
+
+	raw, dead, tombs int64 // bytes: of all records; of those that no longer count; of deletions
+	least, high      uint64
+
+	refs  atomic.Int32 // the store's own, and one for each reader
+	cache atomic.Pointer[unpacked]
+}
+
+// block is where a block of a cold segment stands.
+type block struct{ raw, off int64 }
+
+// unpacked is the block that was read last.
+type unpacked struct {
+	raw   int64
+	bytes []byte
+}
+
+func fileName(number uint64) string { return fmt.Sprintf("%016x.seg", number) }
+
+// number reads a segment's number from its file name.
+func number(name string) (n uint64, ok bool) {
+	_, err := fmt.Sscanf(name, "%016x.seg", &n)
+	return n, err == nil && name == fileName(n)
+}
+
+func (g *segment) acquire() { g.refs.Add(1) }
+
+// release closes the file with the last reader.
+func (g *segment) release() {
+	if g.refs.Add(-1) == 0 {
+		_ = g.file.Close() // only ever read from by now
+	}
+}
+
+// count notes a record in the segment's figures.
+func (g *segment) count(seq uint64, size int) {
+	g.raw += int64(size)
+	g.high = max(g.high, seq)
+	if g.least == 0 || seq < g.least {
+		g.least = seq
+	}
+}
+
+// openSegment opens a file that the manifest lists.
+func openSegment(fs disk.FS, store format.ID, e format.Entry) (*segment, error) {
+	name := fileName(e.Number)
+	f, err := fs.Open(name)
+	if err != nil {
+		if isNotExist(err) {
+			return nil, damage(name, 0, "the manifest lists this segment, and there is no such file")
+		}
+		return nil, err
+	}
+	g := &segment{number: e.Number, name: name, store: store, file: f, cold: e.Cold, size: e.Size}
+	g.refs.Store(1)
+	if err := g.begin(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// begin reads the header, and fills in the size of the active segment.
+func (g *segment) begin() error {
+	size, err := g.file.Size()
+	if err != nil {
+		return err
+	}
+	switch {
+	case g.size == format.Active:
+		if g.size = size; size < format.SegmentHeader {
+			return nil // cut off in its header, before any record
+		}
+	case size < g.size:
+		return damage(g.name, size, "the file ends here, and should have %d bytes", g.size)
+	}
+	b := make([]byte, format.SegmentHeader)
+	if _, err := g.file.ReadAt(b, 0); err != nil {
+		return err
+	}
+	h, salt, err := format.ReadHeader(b)
+	switch v := (format.VersionError{}); {
+	case errors.As(err, &v):
+		return fmt.Errorf("%s: %w", g.name, err)
+	case err != nil:
+		return damage(g.name, 0, "%v", err)
+	case h.Store != g.store || h.Number != g.number || h.Cold != g.cold:
+		return damage(g.name, 8, "the header is that of another segment (number %x, cold %v)", h.Number, h.Cold)
+	}
+	g.salt = salt
+	return nil
+}
+
+// scan hands all records to fn in order, with their offsets in the unpacked form, up to the size. It returns where the
+// last good one ended; the error wraps ErrShort or ErrInvalid of package format where the bytes behind it are no record. Keys
+// and values are valid during the call only.
+func (g *segment) scan(most int, fn func(off int64, r *format.Record) error) (end int64, err error) {
+	return g.scanFrom(format.SegmentHeader, most, fn)
+}
+
+// scanFrom begins at an offset of the file, where a record or block must stand.
+func (g *segment) scanFrom(from int64, most int, fn func(off int64, r *format.Record) error) (end int64, err error) {
+	if g.cold {
+		return g.scanCold(from, most, fn)
+	}
+	if g.size < format.SegmentHeader {
+		return g.size, nil
+	}
+	w := window{file: g.file, off: from, end: g.size}
+	for w.off < g.size {
+		b, err := w.peek(format.RecordHeader)
+		if err != nil {
+			return w.off, err
+		}
+		r, err := format.ReadRecord(b, g.salt, w.off)
+		if err == format.ErrShort {
+			need := format.RecordHeader + recordRest(b)
+			if need > format.RecordHeader+format.MaxKey+int64(most) || w.off+need > g.size {
+				return w.off, err
+			}
+			if b, err = w.peek(int(need)); err != nil {
+				return w.off, err
+			}
+			r, err = format.ReadRecord(b, g.salt, w.off)
+		}
+		if err != nil {
+			return w.off, err
+		}
+		if err := fn(w.off, &r); err != nil {
+			return w.off, err
+		}
+		w.off += int64(r.Size())
+	}
+	return w.off, nil
+}
+
+// recordRest is how many bytes a header says are behind it; it may be wrong, as nothing has been checked.
+func recordRest(b []byte) int64 {
+	if len(b) < format.RecordHeader {
+		return 0
+	}
+	return int64(binary.LittleEndian.Uint32(b[4:])) + int64(binary.LittleEndian.Uint16(b[8:]))
+}
+
+// scanCold reads a cold segment block by block, and notes blocks that it sees for the first time.
+func (g *segment) scanCold(from int64, most int, fn func(off int64, r *format.Record) error) (end int64, err error) {
+	w := window{file: g.file, off: from, end: g.size}
+	for w.off < g.size {
+		b, raw, at, err := g.block(&w, most)
+		if err != nil {
+			return at, err
+		}
+		// Those already known are being read by others, so they are left alone.
+		if n := len(g.blocks); n == 0 || g.blocks[n-1].raw < raw {
+			g.blocks = append(g.blocks, block{raw, at})
+		}
+		for rest := b; len(rest) > 0; {
+			off := raw + int64(len(b)-len(rest))
+			r, err := format.ReadRecord(rest, g.salt, off)
+			if err != nil {
+				return at, err
+			}
+			if err := fn(off, &r); err != nil {
+				return at, err
+			}
+			rest = rest[r.Size():]
+		}
+	}
+	return w.off, nil
+}
+
+// block reads and unpacks the block at the window, moves behind it, and returns where it stood, unpacked and in the file.
+func (g *segment) block(w *window, most int) (b []byte, raw, at int64, err error) {
+	at = w.off
+	if b, err = w.peek(format.BlockHeader); err != nil {
+		return nil, 0, at, err
+	}
+	head, err := format.ReadBlockHead(b)
+	if err != nil {
+		return nil, 0, at, err
+	}
+	if limit := 4*most + format.MaxKey + 1<<20; head.Raw > limit || head.Packed > limit {
+		return nil, 0, at, format.ErrInvalid
+	}
+	if b, err = w.peek(format.BlockHeader + head.Packed); err != nil {
+		return nil, 0, at, err
+	}
+	if b, err = unpack(b, g.salt, at); err != nil {
+		return nil, 0, at, err
+	}
+	w.off += int64(format.BlockHeader + head.Packed)
+	return b, head.Offset, at, nil
+}
+
+// resync finds the next offset of the file from which there can be read again: a valid record, or in a cold segment a
+// valid block; the size where there is none.
+func (g *segment) resync(from int64, most int) (int64, error) {
+	w := window{file: g.file, off: from, end: g.size}
+	for ; w.off < g.size; w.off++ {
+		b, err := w.peek(format.RecordHeader)
+		if err != nil {
+			return 0, err
+		}
+		need := format.RecordHeader + recordRest(b)
+		if g.cold {
+			head, err := format.ReadBlockHead(b)
+			if err != nil {
+				continue
+			}
+			need = int64(format.BlockHeader + head.Packed)
+		} else if _, err := format.ReadRecord(b, g.salt, w.off); err == nil {
+			return w.off, nil
+		} else if err != format.ErrShort || need > format.RecordHeader+format.MaxKey+int64(most) {
+			continue // the fields are looked at before the checksum, so that most offsets cost little
+		}
+		if w.off+need > g.size {
+			continue
+		}
+		if b, err = w.peek(int(need)); err != nil {
+			return 0, err
+		}
+		if g.cold {
+			_, err = unpack(b, g.salt, w.off)
+		} else {
+			_, err = format.ReadRecord(b, g.salt, w.off)
+		}
+		if err == nil {
+			return w.off, nil
+		}
+	}
+	return g.size, nil
+}
+
+// unpack returns a block's records.
+func unpack(b []byte, salt uint32, off int64) ([]byte, error) {
+	head, packed, err := format.ReadBlock(b, salt, off)
+	if err != nil {
+		return nil, err
+	}
+	if !head.Zstd {
+		return bytes.Clone(packed), nil
+	}
+	d, err := decoder()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := d.DecodeAll(packed, make([]byte, 0, head.Raw))
+	if err != nil || len(raw) != head.Raw {
+		return nil, fmt.Errorf("%w: it does not unpack (%v)", format.ErrInvalid, err)
+	}
+	return raw, nil
+}
+
+// read returns the record at an offset. The bytes are the caller's.
+func (g *segment) read(off int64, size int) (format.Record, error) {
+	var b []byte
+	if g.cold {
+		i, found := slices.BinarySearchFunc(g.blocks, off, func(b block, off int64) int { return int(b.raw - off) })
+		if !found {
+			i--
+		}
+		u := g.cache.Load()
+		if u == nil || u.raw != g.blocks[i].raw {
+			w := window{file: g.file, off: g.blocks[i].off, end: g.size}
+			raw, _, at, err := g.block(&w, 1<<28)
+			if err != nil {
+				return format.Record{}, damage(g.name, at, "%v", err)
+			}
+			u = &unpacked{g.blocks[i].raw, raw}
+			g.cache.Store(u)
+		}
+		from := int(off - u.raw)
+		if from < 0 || from+size > len(u.bytes) {
+			return format.Record{}, damage(g.name, g.blocks[i].off, "a record is not where it was")
+		}
+		b = bytes.Clone(u.bytes[from : from+size])
+	} else {
+		b = make([]byte, size)
+		if _, err := g.file.ReadAt(b, off); err != nil && err != io.EOF {
+			return format.Record{}, fmt.Errorf("%s: %w", g.name, err)
+		}
+	}
+	r, err := format.ReadRecord(b, g.salt, off)
+	if err != nil {
+		return r, damage(g.name, off, "%v", err)
+	}
+	return r, nil
+}
+
+// window reads a file forwards through a buffer.
+type window struct {
+	file     disk.File
+	off, end int64 // what is peeked at next; where the file is taken to end
+	buf      []byte
+	from     int64 // of buf
+}
+
+// peek returns at least n bytes at off, fewer only where the file ends.
+func (w *window) peek(n int) ([]byte, error) {
+	have := w.from + int64(len(w.buf)) - w.off
+	if want := min(int64(n), w.end-w.off); w.off < w.from || have < want {
+		size := min(max(int64(n), 256<<10), w.end-w.off)
+		if int64(cap(w.buf)) < size {
+			w.buf = make([]byte, size)
+		}
+		w.buf = w.buf[:size]
+		got, err := w.file.ReadAt(w.buf, w.off)
+		if err != nil && err != io.EOF {
+			w.buf = nil
+			return nil, err
+		}
+		w.buf, w.from = w.buf[:got], w.off
+	}
+	return w.buf[w.off-w.from:], nil
+}
+
+// findFlushed looks behind an offset for groups, and returns the highest flushed offset that they tell of.
+func (g *segment) findFlushed(from int64) (flushed int64, err error) {
+	w := window{file: g.file, off: from, end: g.size}
+	for w.off+format.GroupSize <= g.size {
+		b, err := w.peek(1 << 20)
+		if err != nil {
+			return 0, err
+		}
+		if f, found := format.FindFlushed(b, g.salt, w.off); found {
+			flushed = max(flushed, f)
+		}
+		w.off += int64(len(b)) - format.GroupSize + 1
+		if len(b) < format.GroupSize {
+			break
+		}
+	}
+	return flushed, nil
+}
+
+// packer writes a cold segment.
+type packer struct {
+	*segment
+	limit  int // bytes of a block before it is packed
+	paced  func() error
+	enc    *zstd.Encoder
+	block  []byte
+	rawOff int64 // where the next record stands, unpacked
+}
+
+func newPacker(fs disk.FS, store format.ID, number uint64, limit int, paced func() error) (*packer, error) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(128<<10))
+	if err != nil {
+		return nil, err
+	}
+	g, err := createSegment(fs, store, number, true)
+	if err != nil {
+		return nil, err
+	}
+	return &packer{segment: g, limit: limit, paced: paced, enc: enc, rawOff: format.SegmentHeader}, nil
+}
+
+// createSegment makes a segment's file with its header.
+func createSegment(fs disk.FS, store format.ID, number uint64, cold bool) (*segment, error) {
+	g := &segment{number: number, name: fileName(number), store: store, cold: cold, size: format.SegmentHeader}
+	g.refs.Store(1)
+	f, err := fs.Create(g.name)
+	if err != nil {
+		return nil, err
+	}
+	var b []byte
+	b, g.salt = format.Header{Store: store, Number: number, Cold: cold}.Append(nil)
+	if _, err := f.WriteAt(b, 0); err != nil {
+		f.Close()
+		return nil, err
+	}
+	g.file = f
+	return g, nil
+}
+
+// add appends a record and returns its offset.
+func (p *packer) add(r *format.Record) (off int64, err error) {
+	off = p.rawOff
+	p.block = format.AppendRecord(p.block, p.salt, off, r)
+	p.rawOff += int64(r.Size())
+	p.count(r.Seq, r.Size())
+	if len(p.block) >= p.limit {
+		err = p.pack()
+	}
+	return off, err
+}
+
+// pack writes the block that has gathered, compressed where that saves an eighth.
+func (p *packer) pack() error {
+	if len(p.block) == 0 {
+		return nil
+	}
+	packed := p.enc.EncodeAll(p.block, nil)
+	zst := len(packed) < len(p.block)-len(p.block)/8
+	if !zst {
+		packed = p.block
+	}
+	first := p.rawOff - int64(len(p.block))
+	b := format.AppendBlock(nil, p.salt, p.size, format.Block{Raw: len(p.block), Zstd: zst, Offset: first}, packed)
+	if _, err := p.file.WriteAt(b, p.size); err != nil {
+		return err
+	}
+	p.blocks = append(p.blocks, block{first, p.size})
+	p.size += int64(len(b))
+	p.block = p.block[:0]
+	return p.paced()
+}
--- /dev/null
+++ b/internal/ledger/verify.go
@@ -0,0 +1,46 @@
+package ledger
+
+import (
+	"errors"
+
+	"sloehitch/internal/ledger/disk"
+)
+
+// Verdict says how a folder's files are.
+type Verdict struct {
+	State    string   `json:"state"` // whole, torn or damaged
+	File     string   `json:"file,omitempty"`
+	Offset   int64    `json:"offset,omitempty"`
+	What     string   `json:"what,omitempty"`
+	Recovery Recovery `json:"found"`
+}
+
+// The states of a folder.
+const (
+	Whole   = "whole"
+	Torn    = "torn"    // the end of the active segment was never acknowledged; Open cuts it off
+	Damaged = "damaged" // Open refuses
+)
+
+// Verify reads all that a folder holds without changing it. The error is about what could not be looked at, not about what was
+// found. A folder that a process is writing to may look torn.
+func Verify(fs disk.FS, o Options) (Verdict, error) {
+	o.ReadOnly = true
+	s, err := Open(fs, o)
+	if s != nil {
+		defer s.Close()
+	}
+	var d *Damage
+	switch {
+	case errors.As(err, &d):
+		return Verdict{State: Damaged, File: d.File, Offset: d.Offset, What: d.What}, nil
+	case err != nil:
+		return Verdict{}, err
+	}
+	v := Verdict{State: Whole, Recovery: s.Recovery()}
+	if r := v.Recovery; r.Torn > 0 {
+		v.State, v.File, v.Offset = Torn, r.TornFile, r.TornAt
+		v.What = "the segment ends in bytes that were never acknowledged"
+	}
+	return v, nil
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -60,6 +60,36 @@
 	LogEvery              time.Duration // between log lines on one kind of trouble
 }
 
+// Ledger bounds one store on disk.
+type Ledger struct {
+	Key, Value int   // bytes of a key and of a value
+	Batch      int   // bytes of one batch's records
+	Group      int   // bytes of the batches that share a flush
+	Writers    int   // and their number
+	Queue      int   // bytes of the batches that wait for a flush
+	Segment    int64 // bytes after which a segment is sealed
+	Index      int64 // bytes of memory for the keys
+	Block      int   // bytes that are compressed together
+	Compaction int64 // bytes that one compaction reads at most
+	Paced      int   // bytes that a compaction writes between two flushes
+	Small      int   // small segments that are left alone
+
+	Garbage   float64       // share of what no longer counts, above which there is a compaction
+	GroupWait time.Duration // the longest that a batch waits for others to share its flush
+	Mark      time.Duration // between marks of the clock; what expires may stay for as long
+	Sweep     time.Duration // between looks for what has expired
+	Rest      time.Duration // between a compaction's flushes
+}
+
+// ForLedger derives a ledger's limits from the memory that its keys may take, in bytes.
+func ForLedger(index int64) Ledger {
+	return Ledger{
+		Key: 4 << 10, Value: 1 << 20, Batch: 4 << 20, Group: 4 << 20, Writers: 16384, Queue: 32 << 20,
+		Segment: 16 << 20, Index: index, Block: 32 << 10, Compaction: 64 << 20, Paced: 1 << 20, Small: 8,
+		Garbage: 0.4, GroupWait: 2 * time.Millisecond, Mark: time.Second, Sweep: 10 * time.Second, Rest: 2 * time.Millisecond,
+	}
+}
+
 // For derives the limits from the platform's caps on memory and on descriptors.
 func For(memoryMB, sockets int) Limits {
 	memory := int64(max(memoryMB, 32)) << 20
