Put bookings on record before they start, and refuse them when that can't be done

Need: a daemon that is killed forgets which bookings it ran; the repeat within the window runs a second time.

Change: where the deployment file has [ledger] with a folder, a keyed run is started once its "began" is durable, and its "ended" follows; a start that can't be made durable in time is refused with when to come back and withdrawn. At a start the table of keys is filled before a front listens: what began is not run again and not refused. internal/bookings keeps the record, in protobuf. `sloehitch ledger` puts, dumps, verifies, compacts, backs up and repairs; `check` judges the section; SIGHUP leaves it.

Measured: the real program killed five times under keyed traffic, restarted on the same folder: no key started twice, each start on record, repeats of what began fail.

--- /dev/null
+++ b/cmd/sloehitch/ledger.go
@@ -0,0 +1,374 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+	"unicode/utf8"
+
+	"github.com/mattn/go-isatty"
+
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/limits"
+)
+
+// ledgerCmd looks into a ledger's folder and works on it, without a daemon.
+type ledgerCmd struct {
+	Put     ledgerPutCmd     `cmd:"" help:"Write KEY<TAB>VALUE lines from standard input; print each key once it is durable."`
+	Dump    ledgerDumpCmd    `cmd:"" help:"Print KEY<TAB>VALUE lines, sorted by key. The folder may be in use."`
+	Stat    ledgerStatCmd    `cmd:"" help:"Print figures. The folder may be in use."`
+	Verify  ledgerVerifyCmd  `cmd:"" help:"Read all; exit with 0 if whole, 1 with a torn tail, 2 if damaged, 3 if it can't be looked at."`
+	Compact ledgerCompactCmd `cmd:"" help:"Rewrite the files so that only what counts is left."`
+	Backup  ledgerBackupCmd  `cmd:"" help:"Copy the store as it is now to another folder. The folder may be in use."`
+	Repair  ledgerRepairCmd  `cmd:"" help:"Save what can be read of a damaged folder into a new one."`
+}
+
+// ledgerFlags are what all of them take.
+type ledgerFlags struct {
+	Dir      string `arg:"" help:"The ledger's folder." type:"path"`
+	JSON     bool   `help:"Speak JSON, one object a line; bytes that are no text as key64 and value64."`
+	MemoryMB int    `help:"Memory for the keys, in MB." default:"1024"`
+}
+
+// exitCode is an error that only sets the exit code: all has been said.
+type exitCode int
+
+func (e exitCode) Error() string { return fmt.Sprint("exit ", int(e)) }
+
+func (f *ledgerFlags) options(readOnly bool, log *slog.Logger) ledger.Options {
+	return ledger.Options{Limits: limits.ForLedger(int64(f.MemoryMB) << 20), ReadOnly: readOnly, Manual: true, Log: log, Step: progress()}
+}
+
+func (f *ledgerFlags) open(readOnly bool, log *slog.Logger) (*ledger.Store, error) {
+	if _, err := os.Stat(f.Dir); err != nil {
+		return nil, err
+	}
+	s, err := ledger.Open(disk.Dir(f.Dir), f.options(readOnly, log))
+	if err != nil {
+		return nil, err
+	}
+	if r := s.Recovery(); r.Torn > 0 && !readOnly {
+		log.Warn("a torn tail was cut off; it was never acknowledged", "file", r.TornFile, "offset", r.TornAt, "bytes", r.Torn)
+	}
+	return s, nil
+}
+
+// progress shows long work on a terminal, and nothing elsewhere.
+func progress() func(what string, done, of int64) {
+	if !isatty.IsTerminal(os.Stderr.Fd()) {
+		return nil
+	}
+	var mu sync.Mutex
+	var last time.Time
+	return func(what string, done, of int64) {
+		mu.Lock()
+		defer mu.Unlock()
+		if now := time.Now(); done < of && now.Sub(last) < 200*time.Millisecond {
+			return
+		} else {
+			last = now
+		}
+		fmt.Fprintf(os.Stderr, "\r%s: %d%% of %.1f MiB ", what, 100*done/max(of, 1), float64(of)/(1<<20))
+		if done >= of {
+			fmt.Fprint(os.Stderr, "\r\033[K")
+		}
+	}
+}
+
+// line is a pair as JSON.
+type line struct {
+	Key     string     `json:"key,omitempty"`
+	Key64   []byte     `json:"key64,omitempty"`
+	Value   *string    `json:"value,omitempty"`
+	Value64 []byte     `json:"value64,omitempty"`
+	Expires *time.Time `json:"expires,omitempty"`
+}
+
+// show prints a result for people, or as JSON.
+func (f *ledgerFlags) show(v any, text string) error {
+	if f.JSON {
+		return json.NewEncoder(os.Stdout).Encode(v)
+	}
+	_, err := fmt.Print(text)
+	return err
+}
+
+type ledgerPutCmd struct {
+	ledgerFlags
+	For time.Duration `help:"Let the keys expire after this time, such as 90s; 0: never." default:"0"`
+}
+
+// inFlight is how many lines may wait for a flush together.
+const inFlight = 4096
+
+func (c *ledgerPutCmd) Run(log *slog.Logger) (err error) {
+	dir, err := disk.MakeDir(c.Dir)
+	if err != nil {
+		return err
+	}
+	s, err := c.open(false, log)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, s.Close()) }()
+	return c.write(s, dir, os.Stdin, os.Stdout)
+}
+
+// write puts the lines and prints the keys in their order, each once it is durable and only then.
+func (c *ledgerPutCmd) write(s *ledger.Store, dir disk.Dir, in io.Reader, out io.Writer) error {
+	lim := limits.ForLedger(0)
+	sc := bufio.NewScanner(in)
+	sc.Buffer(nil, 2*(lim.Key+lim.Value))
+	w := bufio.NewWriter(out)
+	var mu sync.Mutex
+	var failed error
+	tokens := make(chan struct{}, inFlight)
+	n := 0
+	fail := func(err error) {
+		if failed == nil {
+			failed = err
+		}
+	}
+	for sc.Scan() {
+		n++
+		key, value, expiry, err := c.parse(sc.Bytes())
+		if err != nil {
+			mu.Lock()
+			fail(fmt.Errorf("line %d: %w", n, err))
+			mu.Unlock()
+			break
+		}
+		var b ledger.Batch
+		b.Put(key, value, expiry)
+		tokens <- struct{}{}
+		mu.Lock()
+		stop := failed != nil
+		mu.Unlock()
+		if stop {
+			<-tokens
+			break
+		}
+		at := n
+		done := func(err error) {
+			mu.Lock()
+			defer mu.Unlock()
+			defer func() { <-tokens }()
+			if err != nil {
+				fail(fmt.Errorf("line %d: %w", at, err))
+				return
+			}
+			w.Write(key)
+			err = w.WriteByte('\n')
+			if len(tokens) <= 1 || w.Buffered() > 2048 { // what is acknowledged is told soon, and many at a time
+				err = errors.Join(err, w.Flush())
+			}
+			if err != nil {
+				fail(err)
+			}
+		}
+		if err := s.Go(&b, done); errors.Is(err, ledger.ErrBusy) {
+			done(s.Apply(&b)) // waits its turn
+		} else if err != nil {
+			done(err)
+		}
+	}
+	for range inFlight { // all callbacks have come
+		tokens <- struct{}{}
+	}
+	if err := sc.Err(); err != nil {
+		fail(fmt.Errorf("line %d: %w", n+1, err))
+	}
+	return errors.Join(failed, w.Flush())
+}
+
+// parse reads a line.
+func (c *ledgerPutCmd) parse(text []byte) (key, value []byte, expiry time.Time, err error) {
+	if c.For > 0 {
+		expiry = time.Now().Add(c.For)
+	}
+	if !c.JSON {
+		k, v, found := bytes.Cut(text, []byte("\t"))
+		if !found {
+			return nil, nil, expiry, errors.New("no tab between key and value")
+		}
+		return bytes.Clone(k), bytes.Clone(v), expiry, nil
+	}
+	var l line
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&l); err != nil {
+		return nil, nil, expiry, err
+	}
+	if key = l.Key64; key == nil {
+		key = []byte(l.Key)
+	}
+	if value = l.Value64; value == nil && l.Value != nil {
+		value = []byte(*l.Value)
+	}
+	if l.Expires != nil {
+		expiry = *l.Expires
+	}
+	return key, value, expiry, nil
+}
+
+type ledgerDumpCmd struct {
+	ledgerFlags
+	Prefix string `help:"Only keys that begin with this."`
+}
+
+func (c *ledgerDumpCmd) Run(log *slog.Logger) error {
+	s, err := c.open(true, log)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	w := bufio.NewWriterSize(os.Stdout, 1<<16)
+	enc := json.NewEncoder(w)
+	err = s.Scan([]byte(c.Prefix), func(p ledger.Pair) error {
+		if c.JSON {
+			return enc.Encode(toLine(p))
+		}
+		if bytes.ContainsAny(p.Key, "\t\n") || bytes.ContainsRune(p.Value, '\n') {
+			return fmt.Errorf("key %q: it or its value has a tab or a line break; use --json", p.Key)
+		}
+		w.Write(p.Key)
+		w.WriteByte('\t')
+		w.Write(p.Value)
+		return w.WriteByte('\n')
+	})
+	return errors.Join(err, w.Flush())
+}
+
+func toLine(p ledger.Pair) (l line) {
+	if utf8.Valid(p.Key) {
+		l.Key = string(p.Key)
+	} else {
+		l.Key64 = p.Key
+	}
+	if utf8.Valid(p.Value) {
+		v := string(p.Value)
+		l.Value = &v
+	} else {
+		l.Value64 = p.Value
+	}
+	if !p.Expiry.IsZero() {
+		e := p.Expiry.UTC()
+		l.Expires = &e
+	}
+	return l
+}
+
+type ledgerStatCmd struct{ ledgerFlags }
+
+func (c *ledgerStatCmd) Run(log *slog.Logger) error {
+	s, err := c.open(true, log)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	stats, r := s.Stats(), s.Recovery()
+	return c.show(struct {
+		ledger.Stats
+		Found ledger.Recovery `json:"found"`
+	}{stats, r}, fmt.Sprintf("%vread in        %v, %d records\n", stats, r.Took.Round(time.Millisecond), r.Records))
+}
+
+type ledgerVerifyCmd struct{ ledgerFlags }
+
+func (c *ledgerVerifyCmd) Run(log *slog.Logger) error {
+	v, err := ledger.Verify(disk.Dir(c.Dir), c.options(true, log))
+	if err != nil {
+		log.Error("the folder can't be looked at", "folder", c.Dir, "error", err)
+		return exitCode(3)
+	}
+	text := fmt.Sprintf("%s: %s", c.Dir, v.State)
+	if v.File != "" {
+		text += fmt.Sprintf(": %s at offset %d: %s", v.File, v.Offset, v.What)
+	}
+	if v.State != ledger.Damaged {
+		text += fmt.Sprintf("; %d keys, %d records in %d segments", v.Recovery.Keys, v.Recovery.Records, v.Recovery.Segments)
+	}
+	if err := c.show(v, text+"\n"); err != nil {
+		return err
+	}
+	if code := map[string]exitCode{ledger.Torn: 1, ledger.Damaged: 2}[v.State]; code != 0 {
+		return code
+	}
+	return nil
+}
+
+type ledgerCompactCmd struct{ ledgerFlags }
+
+func (c *ledgerCompactCmd) Run(log *slog.Logger) (err error) {
+	s, err := c.open(false, log)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, s.Close()) }()
+	s.Sweep()
+	r, err := s.Compact()
+	if err != nil {
+		return err
+	}
+	return c.show(r, fmt.Sprintf("%d segments of %d bytes became %d of %d; %d records kept, %d dropped, in %v\n",
+		r.Segments, r.Before, r.Made, r.After, r.Kept+r.Buried, r.Dropped, r.Took.Round(time.Millisecond)))
+}
+
+type ledgerBackupCmd struct {
+	ledgerFlags
+	To string `arg:"" help:"An empty or new folder." type:"path"`
+}
+
+func (c *ledgerBackupCmd) Run(log *slog.Logger) error {
+	s, err := c.open(true, log)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	to, err := disk.MakeDir(c.To)
+	if err != nil {
+		return err
+	}
+	n, err := s.Backup(to)
+	if err != nil {
+		return err
+	}
+	return c.show(struct {
+		Bytes int64 `json:"bytes"`
+	}{n}, fmt.Sprintf("%d bytes copied to %s\n", n, c.To))
+}
+
+type ledgerRepairCmd struct {
+	ledgerFlags
+	To string `arg:"" help:"An empty or new folder for what can be saved." type:"path"`
+}
+
+func (c *ledgerRepairCmd) Run(log *slog.Logger) error {
+	if _, err := os.Stat(c.Dir); err != nil {
+		return err
+	}
+	to, err := disk.MakeDir(c.To)
+	if err != nil {
+		return err
+	}
+	v, err := ledger.Repair(disk.Dir(c.Dir), to, c.options(false, log))
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("%d keys saved to %s, of %d records in %d segments\n", v.Keys, c.To, v.Records, v.Segments)
+	for _, l := range v.Lost {
+		text += fmt.Sprintf("lost: %s from offset %d, %d bytes: %s\n", l.File, l.Offset, l.Bytes, l.Why)
+	}
+	for _, w := range v.Warnings {
+		text += "warning: " + w + "\n"
+	}
+	return c.show(v, text)
+}
--- /dev/null
+++ b/cmd/sloehitch/ledger_test.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sloehitch/internal/bookings"
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
+	"sloehitch/internal/standin"
+)
+
+// asMain makes this test's program the daemon's: TestMain hands over to main.
+const asMain = "SLOEHITCH_TEST_AS_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asMain) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// command is the real program with these arguments.
+func command(args ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(os.Environ(), asMain+"=1")
+	return c
+}
+
+// TestLedgerCommands tries the sub-commands as a person would.
+func TestLedgerCommands(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "new", "folder")
+	torn, damaged := dir+".torn", dir+".damaged"
+	for _, c := range []struct {
+		name, in, args, out, err string
+		code                     int
+	}{
+		{"put", "b\t2\na\t1\nb\t3\nempty\t\n", "put DIR", "b\na\nb\nempty\n", "", 0},
+		{"put what is no pair", "c\t1\nno tab\nd\t1\n", "put DIR", "c\n", "line 2", 1},
+		{"put an empty key", "\tvalue\n", "put DIR", "", "line 1", 1},
+		{"dump", "", "dump DIR", "a\t1\nb\t3\nc\t1\nempty\t\n", "", 0},
+		{"dump a part", "", "dump --prefix b DIR", "b\t3\n", "", 0},
+		{"put bytes", `{"key64":"/wo=","value":"x\ty"}`, "put --json DIR", "\xff\n\n", "", 0},
+		{"dump bytes as text", "", "dump DIR", "", "--json", 1},
+		{"dump bytes", "", "dump --json DIR", `{"key64":"/wo=","value":"x\ty"}` + "\n", "", 0},
+		{"verify", "", "verify DIR", "whole; 5 keys", "", 0},
+		{"backup", "", "backup DIR " + torn, "bytes copied", "", 0},
+		{"backup again", "", "backup DIR " + torn, "", "not empty", 1},
+		{"compact", "", "compact DIR", "5 records kept", "", 0},
+		{"stat", "", "stat --json DIR", `"keys":5`, "", 0},
+		{"no such folder", "", "verify " + dir + ".none", "", "no such file", 3},
+		{"a torn one", "", "verify " + torn, "torn: ", "", 1},
+		{"a damaged one", "", "verify --json " + damaged, `"state":"damaged","file":"MANIFEST"`, "", 2},
+		{"put into a damaged one", "a\t1\n", "put " + damaged, "", "ledger repair", 1},
+		{"repair", "", "repair " + damaged + " " + dir + ".saved", "lost: MANIFEST", "", 0},
+		{"what was saved", "", "dump --prefix a " + dir + ".saved", "a\t1\n", "", 0},
+	} {
+		switch c.name {
+		case "a torn one":
+			tear(t, torn)
+		case "a damaged one":
+			if err := os.CopyFS(damaged, os.DirFS(dir)); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.Truncate(filepath.Join(damaged, "MANIFEST"), 50); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cmd := command(append([]string{"ledger"}, strings.Fields(strings.ReplaceAll(c.args, "DIR", dir))...)...)
+		cmd.Stdin = strings.NewReader(c.in)
+		var out, log bytes.Buffer
+		cmd.Stdout, cmd.Stderr = &out, &log
+		_ = cmd.Run() // its exit code tells
+		exact := c.err == "" && c.name != "dump bytes" && (strings.HasPrefix(c.args, "put") || strings.HasPrefix(c.args, "dump"))
+		if cmd.ProcessState.ExitCode() != c.code || !strings.Contains(out.String(), c.out) || exact && out.String() != c.out ||
+			!strings.Contains(log.String(), c.err) {
+			t.Errorf("%s: exit %d, %q, %q; want %d, %q, %q", c.name, cmd.ProcessState.ExitCode(), out.String(), log.String(), c.code, c.out, c.err)
+		}
+	}
+}
+
+// tear gives a store an active segment that ends in bytes that are no record.
+func tear(t *testing.T, dir string) {
+	t.Helper()
+	s, err := ledger.Open(disk.Dir(dir), ledger.Options{Limits: limits.ForLedger(1 << 20), Manual: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	// A copy while it is open has an active segment; its name is made one that the table can tell.
+	if err := os.CopyFS(dir+".copy", os.DirFS(dir)); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	left := disk.Dir(dir + ".copy")
+	names, err := left.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var active string
+	for _, name := range names {
+		if strings.HasSuffix(name, ".seg") {
+			active = name // the last one is the newest
+		}
+	}
+	if err := os.Truncate(filepath.Join(string(left), active), 60); err != nil { // within its first group
+		t.Fatal(err)
+	}
+	v, err := ledger.Verify(left, ledger.Options{Limits: limits.ForLedger(1 << 20)})
+	if err != nil || v.State != ledger.Torn || v.File != active || v.Offset != 36 {
+		t.Fatalf("%+v, %v", v, err)
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(string(left), dir); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// killable is the real program, serving, with a ledger.
+type killable struct {
+	*exec.Cmd
+	log bytes.Buffer
+}
+
+func startKillable(t *testing.T, config, deploy, address string) *killable {
+	t.Helper()
+	k := &killable{Cmd: command("serve", "--config", config, "--deploy", deploy)}
+	k.Stderr = &k.log
+	if err := k.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.kill() })
+	for until := time.Now().Add(standin.Patience); ; time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			conn.Close()
+			return k
+		}
+		if time.Now().After(until) {
+			k.kill()
+			t.Fatalf("it does not serve: %v\n%s", err, k.log.String())
+		}
+	}
+}
+
+func (k *killable) kill() {
+	_ = k.Process.Kill() // it may be over
+	_ = k.Wait()
+}
+
+// TestKilledDaemon kills the real daemon under keyed traffic at seeded moments and starts it again on the same folder: no key
+// starts twice, every start that the runtime saw is on record, and a repeat of what began is neither run nor refused.
+func TestKilledDaemon(t *testing.T) {
+	const rounds, keys, perRound = 5, 40, 30
+	dir := t.TempDir()
+	folder := filepath.Join(dir, "ledger")
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { return "OK", "done " + string(j.Body) })
+	rt.Syncs = make(chan uint64, 100)
+	ln := standin.Listen(t)
+	address := ln.Addr().String()
+	ln.Close()
+	config, deploy := filepath.Join(dir, "config.json"), filepath.Join(dir, "deploy.toml")
+	write := func(path, text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(config, standin.Config(address, rt.Address, "", ample))
+	write(deploy, fmt.Sprintf("[ledger]\ndir = %q\n", folder))
+
+	// Killed between "began" and the start of the run: that is all there is of this one.
+	ghost := node.Booking{Key: "ghost", Class: "book", Arrived: time.Now(), Window: time.Hour, Request: "x"}
+	func() {
+		made, err := disk.MakeDir(folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := ledger.Open(made, ledger.Options{Limits: limits.ForLedger(1 << 20)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		done := make(chan error, 1)
+		if err := bookings.New(s, time.Second, time.Second, standin.Quiet).Began(ghost, func(err error) { done <- err }); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}()
+
+	rng := rand.New(rand.NewPCG(7, 7))
+	var mu sync.Mutex
+	id, served := 0, map[string]bool{}
+	for round := range rounds {
+		k := startKillable(t, config, deploy, address)
+		before := map[string]bool{}
+		for i := range keys {
+			body := fmt.Sprint("k", i)
+			before[body] = rt.Runs(body) > 0
+		}
+		b := standin.Dial(t, address)
+		sent := map[string]string{}
+		for range perRound {
+			id++
+			body := fmt.Sprint("k", rng.IntN(keys))
+			sent[fmt.Sprint(id)] = body
+			b.Do(id, "book", req(id), time.Now(), body, ",opkey="+body)
+		}
+		for range rng.IntN(perRound) { // the moment of the kill
+			got := b.Read()
+			if len(got) < 2 {
+				t.Fatalf("round %d: the connection ended", round)
+			}
+			body := sent[got[0]]
+			mu.Lock()
+			switch {
+			case got[1] == "ACK":
+				if before[body] {
+					t.Errorf("round %d: %s ran before the kill and was served after it", round, body)
+				}
+				served[body] = true
+			case got[1] == "NAK" && before[body]:
+				t.Errorf("round %d: %s began before the kill and was refused after it", round, body)
+			}
+			mu.Unlock()
+		}
+		k.kill()
+		s, err := ledger.Open(disk.Dir(folder), ledger.Options{Limits: limits.ForLedger(1 << 20), ReadOnly: true})
+		if err != nil {
+			t.Fatalf("round %d: %v", round, err)
+		}
+		for i := range keys {
+			body := fmt.Sprint("k", i)
+			n := rt.Runs(body)
+			if n > 1 {
+				t.Errorf("round %d: %s ran %d times", round, body, n)
+			}
+			if n > 0 && !s.Has([]byte("booking/"+body)) {
+				t.Errorf("round %d: %s was started and is not on record", round, body)
+			}
+			if n == 0 && served[body] {
+				t.Errorf("round %d: %s was served and never run", round, body)
+			}
+		}
+		s.Close()
+	}
+	k := startKillable(t, config, deploy, address)
+	b := standin.Dial(t, address)
+	b.Do(1, "book", req(999999), time.Now(), "ghost", ",opkey=ghost")
+	if got := b.Read(); len(got) < 2 || got[1] != "FAIL" || rt.Runs("ghost") != 0 {
+		t.Errorf("one whose start was recorded and never made: %q, %d runs", got, rt.Runs("ghost"))
+	}
+	if second, err := command("serve", "--config", config, "--deploy", deploy).CombinedOutput(); err == nil || !strings.Contains(string(second), "in use") {
+		t.Errorf("a second daemon on the folder: %s", second)
+	}
+	k.kill()
+	if len(served) == 0 {
+		t.Error("nothing was served")
+	}
+}
--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 	"slices"
 
@@ -14,6 +15,8 @@
 
 	"sloehitch/internal/config"
 	"sloehitch/internal/describe"
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/store"
 )
@@ -26,6 +29,7 @@
 	Check    checkCmd    `cmd:"" help:"Check a configuration and say what it would do."`
 	Describe describeCmd `cmd:"" help:"Print the AsyncAPI description of the platform's messages."`
 	State    stateCmd    `cmd:"" help:"Show or change the operators' state, on all members of the store."`
+	Ledger   ledgerCmd   `cmd:"" help:"Look into a ledger's folder, check it, copy it, mend it."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
@@ -65,7 +69,7 @@
 
 type checkCmd struct{ files }
 
-func (c *checkCmd) Run(_ *slog.Logger) error {
+func (c *checkCmd) Run(log *slog.Logger) error {
 	l, err := c.load()
 	if err != nil {
 		return err
@@ -76,6 +80,33 @@
 	if u := l.deploy.Uwsgi; u.Listen != "" {
 		fmt.Printf("%s: uwsgi on %s, servers %v\n", c.Deploy, u.Listen, u.Servers)
 	}
+	return c.checkLedger(l.deploy.Ledger, log)
+}
+
+// checkLedger judges the folder as well, without a change to it.
+func (c *checkCmd) checkLedger(l config.Ledger, log *slog.Logger) error {
+	if l.Dir == "" {
+		return nil
+	}
+	every, err := l.Interval()
+	if err != nil {
+		return err
+	}
+	flush := "each start flushed before it is made"
+	if every > 0 {
+		flush = fmt.Sprintf("flushed every %v: a cut may lose bookings that began in the last %v", every, every)
+	}
+	state := "a new store"
+	if _, err := os.Stat(filepath.Join(l.Dir, "MANIFEST")); err == nil {
+		v, err := ledger.Verify(disk.Dir(l.Dir), ledger.Options{Limits: limits.ForLedger(l.IndexBytes()), Log: log})
+		if err != nil {
+			return fmt.Errorf("ledger: %w", err)
+		}
+		if state = fmt.Sprintf("%s, %d keys", v.State, v.Recovery.Keys); v.State == ledger.Damaged {
+			return fmt.Errorf("ledger: %s: %s at offset %d: %s; see `sloehitch ledger repair`", l.Dir, v.File, v.Offset, v.What)
+		}
+	}
+	fmt.Printf("%s: ledger in %s (%s), %d MB for keys, %s\n", c.Deploy, l.Dir, state, l.IndexBytes()>>20, flush)
 	return nil
 }
 
@@ -130,7 +161,12 @@
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	ctx := kong.Parse(&cli, kong.Name("sloehitch"), kong.Bind(log),
 		kong.Description("Decides on a server which requests run, wait or are refused."))
-	if err := ctx.Run(log); err != nil {
+	err := ctx.Run(log)
+	var code exitCode
+	switch {
+	case errors.As(err, &code):
+		os.Exit(int(code))
+	case err != nil:
 		log.Error("stopped", "error", err)
 		os.Exit(1)
 	}
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"net"
@@ -15,10 +16,13 @@
 	"syscall"
 	"time"
 
+	"sloehitch/internal/bookings"
 	"sloehitch/internal/catalogue"
 	"sloehitch/internal/config"
 	"sloehitch/internal/directory"
 	"sloehitch/internal/gate"
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
 	"sloehitch/internal/resp"
@@ -68,9 +72,11 @@
 	listeners []net.Listener
 	pulse     *directory.Pulse
 	store     *store.Store
-	servers   *uwsgi.Servers // nil where uwsgi is off
-	closed    atomic.Bool    // out of service by the operators' word
-	leaving   atomic.Bool    // the notice to leave has come
+	ledger    *ledger.Store    // nil where it is off
+	bookings  *bookings.Record // nil with it
+	servers   *uwsgi.Servers   // nil where uwsgi is off
+	closed    atomic.Bool      // out of service by the operators' word
+	leaving   atomic.Bool      // the notice to leave has come
 	failed    chan error
 
 	link  *runtime.Link     // nil without a runtime
@@ -111,7 +117,13 @@
 		d.below = catalogue.New(p.Catalog, lim, log)
 		options.Caller = d.below
 	}
+	if err := d.openLedger(&options); err != nil {
+		return nil, err
+	}
 	d.node = node.New(options)
+	if err := d.restore(); err != nil { // before the first request is taken
+		return nil, err
+	}
 	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed}, Runner: d.link, Classes: p.Names.Classes,
 		Tenants: p.Names.Tenants, Limits: lim, Log: log})
 	if d.link != nil { // without a runtime nothing could run what balancers send
@@ -135,6 +147,49 @@
 	return d, nil
 }
 
+// openLedger opens the record of bookings where the deployment file names a folder for it.
+func (d *daemon) openLedger(o *node.Options) error {
+	c := d.deploy.Load().Ledger
+	if c.Dir == "" {
+		return nil
+	}
+	every, err := c.Interval()
+	if err != nil {
+		return err
+	}
+	dir, err := disk.MakeDir(c.Dir)
+	if err != nil {
+		return err
+	}
+	if d.ledger, err = ledger.Open(dir, ledger.Options{Limits: limits.ForLedger(c.IndexBytes()), Flush: every, Log: d.log}); err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	d.bookings = bookings.New(d.ledger, node.Spare(d.limits), d.limits.LogEvery, d.log)
+	o.Journal = d.bookings
+	r := d.ledger.Recovery()
+	d.log.Info("ledger opened", "folder", c.Dir, "keys", r.Keys, "records", r.Records, "segments", r.Segments, "torn_bytes", r.Torn, "took", r.Took)
+	return nil
+}
+
+// restore tells the core what ran before a restart.
+func (d *daemon) restore() error {
+	if d.bookings == nil {
+		return nil
+	}
+	if err := d.bookings.All(d.node.Restore); err != nil {
+		return errors.Join(fmt.Errorf("ledger: %w", err), d.ledger.Close())
+	}
+	return nil
+}
+
+// closeLedger flushes what is still on its way to the disk.
+func (d *daemon) closeLedger() error {
+	if d.ledger == nil {
+		return nil
+	}
+	return d.ledger.Close()
+}
+
 func (d *daemon) listen(address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err == nil {
@@ -214,17 +269,20 @@
 	for {
 		select {
 		case err := <-d.failed:
-			return err
+			return errors.Join(err, d.closeLedger())
 		case <-sweep.C:
 			d.node.Sweep()
 			d.front.Sweep()
+			if d.bookings != nil {
+				d.bookings.Retry()
+			}
 		case <-totals.C:
 			d.logTotals()
 		case <-d.hup:
 			d.reload()
 		case <-stop:
 			d.leave()
-			return d.store.Close()
+			return errors.Join(d.store.Close(), d.closeLedger())
 		}
 	}
 }
@@ -278,6 +336,9 @@
 		l.deploy.Uwsgi.Listen != d.deploy.Load().Uwsgi.Listen || (p.Runtime == "") != (old.Runtime == "") || (p.Catalog == "") != (old.Catalog == "") {
 		d.log.Warn("name, addresses to listen on, limits, settings and which links there are take a restart")
 	}
+	if l.deploy.Ledger != d.deploy.Load().Ledger {
+		d.log.Warn("the section [ledger] stays as it was: it takes a restart")
+	}
 	if d.link != nil && p.Runtime != "" {
 		d.link.Move(p.Runtime)
 	}
@@ -299,6 +360,10 @@
 	if d.uwsgi != nil {
 		args = append(args, "uwsgi", d.uwsgi.Totals())
 	}
+	if d.ledger != nil {
+		t := d.ledger.Stats()
+		args = append(args, "ledger_keys", t.Keys, "ledger_bytes", t.Disk, "ledger_flushes", t.Flushes, "ledger_broken", t.Broken)
+	}
 	d.log.Info("totals", args...)
 }
 
--- /dev/null
+++ b/internal/bookings/bookings_test.go
@@ -0,0 +1,133 @@
+package bookings
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/simdisk"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
+	"sloehitch/internal/standin"
+)
+
+var at = time.UnixMicro(1764576000123456)
+
+func open(t *testing.T, fs *simdisk.FS) (*ledger.Store, *Record) {
+	t.Helper()
+	s, err := ledger.Open(fs, ledger.Options{Limits: limits.ForLedger(1 << 20), Manual: true, Now: func() time.Time { return at }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s, New(s, time.Second, 0, standin.Quiet)
+}
+
+func booking(key string) node.Booking {
+	return node.Booking{Key: key, Class: "book", Digest: [32]byte{1, 31: 2}, Arrived: at, Window: time.Minute, Request: "\xff" + key}
+}
+
+func began(t *testing.T, r *Record, key string) {
+	t.Helper()
+	done := make(chan error, 1)
+	if err := r.Began(booking(key), func(err error) { done <- err }); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func all(t *testing.T, r *Record) (list string) {
+	t.Helper()
+	if err := r.All(func(b node.Booking) {
+		want := booking(b.Key)
+		want.Ended, want.Served = b.Ended, b.Served
+		if b != want {
+			t.Errorf("%+v, want %+v", b, want)
+		}
+		list += fmt.Sprintf("%q %v %v, ", b.Key, b.Ended, b.Served)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// TestRecord: what was on record is there after a cut and no more.
+func TestRecord(t *testing.T) {
+	fs := simdisk.New(1)
+	s, r := open(t, fs)
+	for _, key := range []string{"a", "b\x00\xff", "c", "d"} {
+		began(t, r, key)
+	}
+	ended := booking("a")
+	ended.Ended, ended.Served = true, true
+	r.Ended(ended)
+	ended = booking("d")
+	ended.Ended = true
+	r.Ended(ended)
+	r.Withdraw(booking("c"))
+	if err := s.Put([]byte("other/x"), []byte("not ours"), time.Time{}); err != nil { // in order, so all before is durable
+		t.Fatal(err)
+	}
+	_, r = open(t, fs.Cut(1))
+	const want = `"a" true true, "b\x00\xff" false false, "d" true false, `
+	if got := all(t, r); got != want {
+		t.Errorf("%s, want %s", got, want)
+	}
+}
+
+// TestNoRoom: an end or a withdrawal that finds no room is written later, but never behind a newer start of its key.
+func TestNoRoom(t *testing.T) {
+	fs := simdisk.New(1)
+	s, r := open(t, fs)
+	for _, key := range []string{"a", "b"} {
+		began(t, r, key)
+	}
+	fs.Room = 1
+	done := make(chan error, 1)
+	if err := r.Began(booking("c"), func(err error) { done <- err }); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-done; !errors.Is(err, ledger.ErrFull) {
+		t.Errorf("a start on a full disk: %v", err)
+	}
+	r.Withdraw(booking("a"))
+	r.Withdraw(booking("b"))
+	waitFor(t, func() bool { r.mu.Lock(); defer r.mu.Unlock(); return len(r.again) == 2 })
+	fs.Room = 0
+	began(t, r, "b")
+	r.Retry()
+	if err := s.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if got := all(t, r); got != `"b" false false, ` {
+		t.Errorf("%s", got)
+	}
+}
+
+// waitFor waits for what other goroutines are to do.
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for until := time.Now().Add(standin.Patience); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("it did not come about")
+		}
+	}
+}
+
+// TestBadRecord: a record that can't be read is an error, not a booking less.
+func TestBadRecord(t *testing.T) {
+	s, r := open(t, simdisk.New(1))
+	for _, value := range []string{"\xff\xff", "", "\x08\x01"} {
+		if err := s.Put([]byte(prefix+"k"), []byte(value), time.Time{}); err != nil {
+			t.Fatal(err)
+		}
+		if err := r.All(func(node.Booking) {}); err == nil || !strings.Contains(err.Error(), `"k"`) {
+			t.Errorf("%q: %v", value, err)
+		}
+	}
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,12 @@
 		{"members", "[store]\nadmin = \"127.0.0.1:1\"\n[[store.members]]\nname = \"n1\"\nraft = \"127.0.0.1:2\"\n", ""},
 		{"nameless member", "[[store.members]]\nraft = \"127.0.0.1:2\"\n", "name"},
 		{"bad admin", "[store]\nadmin = \"127.0.0.1\"\n", "port"},
+		{"a ledger", "[ledger]\ndir = \"d\"\nflush = \"20ms\"\nmemory_mb = 8\n", ""},
+		{"a ledger by default", "[ledger]\ndir = \"d\"\n", ""},
+		{"a ledger without a folder", "[ledger]\nflush = \"each\"\n", "dir"},
+		{"flushes without a unit", "[ledger]\ndir = \"d\"\nflush = \"20\"\n", "1ms"},
+		{"flushes too seldom", "[ledger]\ndir = \"d\"\nflush = \"1h\"\n", "10s"},
+		{"memory below nothing", "[ledger]\ndir = \"d\"\nmemory_mb = -1\n", "memory_mb"},
 		{"bad server", strings.Replace(on, ":3031", "", 1), "port"},
 	} {
 		if _, err := ParseDeploy([]byte(c.text)); (err == nil) != (c.wrong == "") || err != nil && !strings.Contains(err.Error(), c.wrong) {
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -28,10 +29,57 @@
 	Members []store.Member `toml:"members"` // none: this daemon alone
 }
 
+// Ledger says where the record of bookings is kept across restarts.
+type Ledger struct {
+	Dir      string `toml:"dir"`       // on a disk that lasts; empty: off
+	Flush    string `toml:"flush"`     // "each": before a booking's start is known to be recorded; or a time such as "20ms"
+	MemoryMB int    `toml:"memory_mb"` // for the keys
+}
+
+// The defaults and bounds of a ledger's settings.
+const (
+	flushEach      = "each"
+	flushMost      = 10 * time.Second
+	ledgerMemoryMB = 16
+	ledgerMemoryGB = 64
+)
+
+// Interval is the time between flushes; 0: each before it is acknowledged.
+func (l Ledger) Interval() (time.Duration, error) {
+	if l.Flush == "" || l.Flush == flushEach {
+		return 0, nil
+	}
+	every, err := time.ParseDuration(l.Flush)
+	if err != nil || every < time.Millisecond || every > flushMost {
+		return 0, fmt.Errorf("ledger: flush is %q; write \"each\", or a time from \"1ms\" to %q", l.Flush, flushMost)
+	}
+	return every, nil
+}
+
+// IndexBytes is the memory for the keys.
+func (l Ledger) IndexBytes() int64 {
+	if l.MemoryMB == 0 {
+		return ledgerMemoryMB << 20
+	}
+	return int64(l.MemoryMB) << 20
+}
+
+func (l Ledger) check() error {
+	if l.Dir == "" && (l.Flush != "" || l.MemoryMB != 0) {
+		return errors.New("ledger: flush and memory_mb need dir, the folder on a disk that lasts")
+	}
+	if l.MemoryMB < 0 || l.MemoryMB > ledgerMemoryGB<<10 {
+		return fmt.Errorf("ledger: memory_mb is %d; write 1 to %d", l.MemoryMB, ledgerMemoryGB<<10)
+	}
+	_, err := l.Interval()
+	return err
+}
+
 // Deploy is our own file of deployment settings.
 type Deploy struct {
-	Uwsgi Uwsgi `toml:"uwsgi"`
-	Store Store `toml:"store"`
+	Uwsgi  Uwsgi  `toml:"uwsgi"`
+	Store  Store  `toml:"store"`
+	Ledger Ledger `toml:"ledger"`
 
 	OpenAPI []byte `toml:"-"` // the text of the description
 }
@@ -65,6 +113,9 @@
 	if err := decoder.Decode(d); err != nil {
 		return nil, err
 	}
+	if err := d.Ledger.check(); err != nil {
+		return nil, err
+	}
 	u := d.Uwsgi
 	addresses := []string{d.Store.Admin}
 	for _, m := range d.Store.Members {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -50,6 +50,8 @@
 	Pulse                 time.Duration // between reports to the directory
 	Gauges                time.Duration // for the gauges before a tick goes without
 	Closing               time.Duration // for a peer to close a connection after it was asked to
+	RecordWait            time.Duration // for a booking's start to be on record before it is refused
+	RecordBack            time.Duration // after which its caller is to come back then
 	KeySlack              time.Duration // added to a key's window: clocks and sockets are not exact
 	DueShare              float64       // of the grace after a due time at which the guard answers
 	GraceSpare            time.Duration // before the end of the drain's grace at which callers are sent elsewhere
@@ -112,6 +114,7 @@
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second,
 		CallIdle: time.Second, ReplyRest: time.Second, Message: 2 * time.Second, HandOver: 300 * time.Millisecond, Swallowed: 80 * time.Millisecond, CallSlack: 100 * time.Millisecond,
 		Pulse: 250 * time.Millisecond, Gauges: 700 * time.Millisecond, Closing: 2 * time.Second,
+		RecordWait: time.Second, RecordBack: time.Second,
 		KeySlack: 200 * time.Millisecond, DueShare: 0.5, GraceSpare: 50 * time.Millisecond, KillSpare: 150 * time.Millisecond,
 		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -7,16 +7,21 @@
 
 // entry is what is known of one key: the try that has it, and once that ran, its result.
 type entry struct {
-	owner   *request
-	digest  [sha256.Size]byte
-	ran     bool
-	from    time.Time // when the try that ran reached the machine
-	over    bool      // its run has ended
-	served  bool      // and went well
-	result  []byte
-	waiting []*request
+	owner    *request
+	digest   [sha256.Size]byte
+	ran      bool
+	from     time.Time     // when the try that ran reached the machine
+	window   time.Duration // once it ran: for how long it must not run again
+	over     bool          // its run has ended
+	restored bool          // it ran in an earlier process, which did not leave its result
+	served   bool          // and went well
+	result   []byte
+	waiting  []*request
 }
 
+// spare is for how many times the slack an entry is kept beyond its window.
+const spare = 20
+
 // keyTable connects the tries of keyed requests. It is bounded; a try that finds no room never runs, as a repeat
 // of it could not be told.
 type keyTable struct {
@@ -32,14 +37,14 @@
 }
 
 // live says whether a try that arrived at the given time falls into the window of the one that ran.
-func (e *entry) live(at time.Time, window time.Duration) bool {
-	return !e.ran || at.Before(e.from.Add(window))
+func (e *entry) live(at time.Time, slack time.Duration) bool {
+	return !e.ran || at.Before(e.from.Add(e.window+slack))
 }
 
 // key finds the entry that a try repeats or owns.
 func (t *keyTable) key(r *request) *entry {
 	e := t.entries[r.Key]
-	if e == nil || !e.live(r.Arrived, t.window(r.Class)+t.slack) {
+	if e == nil || !e.live(r.Arrived, t.slack) {
 		return nil
 	}
 	return e
@@ -102,7 +107,7 @@
 func (t *keyTable) expire(now time.Time) {
 	for key, e := range t.entries {
 		// Tries are told apart by when they reached the machine, and may be read seconds after that.
-		if e.ran && e.over && now.After(e.from.Add(t.window(e.owner.Class)+20*t.slack)) {
+		if e.ran && e.over && now.After(e.from.Add(e.window+spare*t.slack)) {
 			t.remove(key)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -76,6 +77,7 @@
 	Settings logic.Settings
 	Gate     *gate.Gate
 	Caller   Caller
+	Journal  Journal // nil: what runs is known in memory only
 	Clock    Clock
 	Limits   limits.Limits
 	Log      *slog.Logger
@@ -85,9 +87,10 @@
 type stage int
 
 const (
-	held   stage = iota // nothing of it runs
-	joined              // it waits for the result of another try
-	runs                // its run was asked for and has not ended
+	held     stage = iota // nothing of it runs
+	joined                // it waits for the result of another try
+	starting              // it waits for its start to be on record; nothing of it runs
+	runs                  // its run was asked for and has not ended
 	ended
 )
 
@@ -101,7 +104,8 @@
 	reply   func(Answer)
 	due     time.Time
 	guard   *time.Timer
-	entered time.Time // when the module was told of it
+	wait    *time.Timer // starting: for how long
+	entered time.Time   // when the module was told of it
 	paused  bool
 	wants   uint64 // the notice that asked for the call it stands at; 0: none
 	call    []byte
@@ -110,15 +114,18 @@
 }
 
 // digest tells requests under one key apart.
-func digest(q *Request) [sha256.Size]byte {
+func digest(class string, q *Request) [sha256.Size]byte {
 	h := sha256.New()
-	fmt.Fprintln(h, q.Class)
+	fmt.Fprintln(h, class)
 	h.Write(q.Content)
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
 // Counts are totals since the start, for the log.
-type Counts struct{ Read, Served, Refused, Failed, Gone, Late, Joined, Ran int }
+type Counts struct {
+	Read, Served, Refused, Failed, Gone, Late, Joined, Ran int
+	Restored, Unrecorded                                   int // bookings of an earlier process; starts that could not be recorded
+}
 
 // Node owns all requests in hand.
 type Node struct {
@@ -144,6 +151,10 @@
 		keys: newKeyTable(o.Limits.Keys, o.Limits.KeptResults, o.Limits.KeySlack, window)}
 }
 
+// Spare is for how long beyond its window a key is remembered: tries are told apart by when they reached the machine, and
+// may be read seconds after that.
+func Spare(l limits.Limits) time.Duration { return spare * l.KeySlack }
+
 // Serve carries out what the gate decides until the gate is closed.
 func (n *Node) Serve() {
 	for {
@@ -185,12 +196,16 @@
 	}
 	n.open++
 	if r.Key != "" {
-		r.digest = digest(&q)
+		r.digest = digest(class.Name, &q)
 		if e := n.keys.key(r); e != nil && e.digest != r.digest {
 			// Another request under the same key: the first one's result is not its own, and neither must take the
 			// other's place.
 			n.settle(r, Answer{Kind: Failed, Taken: true})
 			return
+		} else if e != nil && e.restored {
+			// It ran before a restart, and its result is not known here: nothing to wait for.
+			n.settle(r, Answer{Kind: Failed})
+			return
 		}
 	}
 	n.byID[q.ID] = r
@@ -268,6 +283,9 @@
 	n.closed(r)
 }
 
+// errSlow says that a start was not on record by the time it had to be.
+var errSlow = errors.New("the disk is too slow")
+
 // closed takes a request off those that are owed an answer.
 func (n *Node) closed(r *request) {
 	if r.guard != nil {
@@ -293,7 +311,7 @@
 		n.again(waiting)
 	}
 	// The table of keys holds on to its owners: without what only a request in hand needs.
-	r.Body, r.Content, r.call, r.reply, r.guard = nil, nil, nil, nil, nil
+	r.Body, r.Content, r.call, r.reply, r.guard, r.wait = nil, nil, nil, nil, nil, nil
 }
 
 // again hands a request that waited for a try which never ran to the module once more, as a new one.
@@ -317,6 +335,10 @@
 
 // giveUp answers a request without the module's word, and tells it.
 func (n *Node) giveUp(r *request) {
+	if r.stage == starting {
+		n.takeBack(r, Answer{Kind: Refused, Holdoff: n.opts.Limits.RecordBack})
+		return
+	}
 	kind := Failed
 	if r.stage == held {
 		kind = Refused
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -13,13 +13,14 @@
 	case gate.Run:
 		n.run(r)
 	case gate.Refuse:
-		n.settle(r, Answer{Kind: Refused, Holdoff: d.Span, Last: d.Last})
-		n.dropIdle(r)
+		n.turnAway(r, Answer{Kind: Refused, Holdoff: d.Span, Last: d.Last})
 	case gate.Fail:
-		n.settle(r, Answer{Kind: Failed})
-		n.dropIdle(r)
+		n.turnAway(r, Answer{Kind: Failed})
 	case gate.Stop:
-		if r.stage == runs {
+		switch r.stage {
+		case starting:
+			r.paused = true
+		case runs:
 			r.paused = true
 			r.Runner.Stop(r.ID)
 		}
@@ -44,8 +45,13 @@
 	}
 }
 
-// dropIdle drops an answered request of which nothing runs.
-func (n *Node) dropIdle(r *request) {
+// turnAway answers a request by the module's word, and drops it if nothing of it runs.
+func (n *Node) turnAway(r *request, a Answer) {
+	if r.stage == starting {
+		n.takeBack(r, a)
+		return
+	}
+	n.settle(r, a)
 	if r.stage == held || r.stage == joined {
 		n.drop(r)
 	}
@@ -59,6 +65,9 @@
 		r.paused = false
 		r.Runner.Continue(r.ID)
 		return
+	case r.stage == starting:
+		r.paused = false
+		return
 	case r.stage != held:
 		return
 	case n.tooLate(r):
@@ -77,12 +86,27 @@
 			n.join(r)
 			return
 		}
-		e.ran, e.from = true, r.Arrived
+		e.ran, e.from, e.window = true, r.Arrived, n.keys.window(r.Class)
+		if n.opts.Journal != nil {
+			n.record(r)
+			return
+		}
+	}
+	n.start(r)
+}
+
+// start hands a request to its runner.
+func (n *Node) start(r *request) {
+	if r.wait != nil {
+		r.wait.Stop()
 	}
 	r.stage = runs
 	n.counts.Ran++
 	class := &n.opts.Settings.Classes[r.Class]
 	r.Runner.Start(r.ID, class.Name, r.Body)
+	if r.paused { // while its start was being recorded
+		r.Runner.Stop(r.ID)
+	}
 }
 
 // join serves a request from the result of the try that it repeats, now or when that is over.
@@ -138,7 +162,15 @@
 	if e := n.keys.entries[r.Key]; r.Key != "" && e != nil && e.owner == r && started {
 		if o == logic.Moot {
 			e.ran = false // nothing was started: drop hands the key to whoever waits
+			if n.opts.Journal != nil {
+				n.opts.Journal.Withdraw(n.booking(r))
+			}
 		} else {
+			if n.opts.Journal != nil {
+				b := n.booking(r)
+				b.Ended, b.Served = true, o == logic.OK
+				n.opts.Journal.Ended(b)
+			}
 			e.over, e.served = true, o == logic.OK
 			e.result = result
 			waiting := e.waiting
