--- a/cmd/sloehitch/ledger_test.go
+++ b/cmd/sloehitch/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -14,6 +15,7 @@
 	"time"
 
 	"sloehitch/internal/bookings"
+	"sloehitch/internal/config"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
@@ -273,3 +275,67 @@
 		t.Error("nothing was served")
 	}
 }
+
+// TestReloadLeavesTheLedger: a new configuration with another [ledger] changes nothing about it, and the log says so.
+func TestReloadLeavesTheLedger(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	s := serveNode(t, ample, rt)
+	var log bytes.Buffer
+	s.stop <- os.Interrupt // the loop that reads signals ends, so that this test alone reloads
+	<-s.stopped
+	s.log = slog.New(slog.NewTextHandler(&log, nil))
+	other := &loaded{platform: s.platform, deploy: &config.Deploy{Ledger: config.Ledger{Dir: filepath.Join(t.TempDir(), "new")}}}
+	s.load = func() (*loaded, error) { return other, nil }
+	s.reload()
+	if s.ledger != nil || !strings.Contains(log.String(), "[ledger]") {
+		t.Errorf("ledger %v; log: %s", s.ledger, log.String())
+	}
+	if _, err := os.Stat(other.deploy.Ledger.Dir); err == nil {
+		t.Error("the new folder was made")
+	}
+}
+
+// BenchmarkBooking is the time of one booking after the other through the daemon, on real sockets, without and with a ledger.
+func BenchmarkBooking(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprintf("ledger=%v", on), func(b *testing.B) {
+			rt := standin.NewRuntime(b, func(*standin.Job) (string, string) { return "OK", "r" })
+			ln := standin.Listen(b)
+			ln.Close()
+			p, err := config.Parse([]byte(standin.Config(ln.Addr().String(), rt.Address, "", ample)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := &loaded{platform: p, deploy: &config.Deploy{}}
+			if on {
+				dir, err := os.MkdirTemp(os.Getenv("SLOEHITCH_BENCH_DIR"), "ledger")
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer os.RemoveAll(dir)
+				l.deploy.Ledger.Dir = dir
+			}
+			d, err := start(l, limits.For(192, 256), standin.Quiet)
+			if err != nil {
+				b.Fatal(err)
+			}
+			stop := make(chan os.Signal, 1)
+			ended := make(chan error, 1)
+			go func() { ended <- d.run(stop) }()
+			c := standin.Dial(b, ln.Addr().String())
+			n := 0
+			for b.Loop() {
+				n++
+				c.Do(n, "book", req(n), time.Now(), "a", fmt.Sprint(",opkey=k", n))
+				if got := c.Read(); len(got) < 2 || got[1] != "ACK" && got[1] != "NAK" {
+					b.Fatalf("%q", got)
+				}
+			}
+			c.Close()
+			stop <- os.Interrupt
+			if err := <-ended; err != nil {
+				b.Error(err)
+			}
+		})
+	}
+}
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -60,32 +60,56 @@
 // BenchmarkPut has so many writers put one record after the other.
 func BenchmarkPut(b *testing.B) {
 	for _, n := range []int{1, 8, 64, 512} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := mustOpen(b, benchDir(b), Options{Limits: limits.ForLedger(1 << 30)})
-			value := make([]byte, benchValue)
-			var next atomic.Int64
-			var wait sync.WaitGroup
-			b.ResetTimer()
-			for range n {
-				wait.Go(func() {
-					for {
-						i := next.Add(1)
-						if i > int64(b.N) {
-							return
-						}
-						if err := s.Put(benchKey(int(i)), value, time.Time{}); err != nil {
-							b.Error(err)
-							return
-						}
-					}
-				})
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchPut(b, benchDir(b), n) })
+	}
+}
+
+func benchPut(b *testing.B, fs disk.FS, writers int) {
+	s := mustOpen(b, fs, Options{Limits: limits.ForLedger(1 << 30)})
+	value := make([]byte, benchValue)
+	var next atomic.Int64
+	var wait sync.WaitGroup
+	b.ResetTimer()
+	for range writers {
+		wait.Go(func() {
+			for {
+				i := next.Add(1)
+				if i > int64(b.N) {
+					return
+				}
+				if err := s.Put(benchKey(int(i)), value, time.Time{}); err != nil {
+					b.Error(err)
+					return
+				}
 			}
-			wait.Wait()
-			b.StopTimer()
-			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "puts/s")
-			b.ReportMetric(float64(b.N)/float64(s.Stats().Groups), "puts/flush")
 		})
 	}
+	wait.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "puts/s")
+	b.ReportMetric(float64(b.N)/float64(s.Stats().Groups), "puts/flush")
+}
+
+// slowDisk is a disk whose flush takes a while longer, as those of most machines do.
+type slowDisk struct{ disk.FS }
+
+type slowFile struct{ disk.File }
+
+func (d slowDisk) Create(name string) (disk.File, error) {
+	f, err := d.FS.Create(name)
+	return slowFile{f}, err
+}
+
+func (f slowFile) Sync() error {
+	time.Sleep(2 * time.Millisecond)
+	return f.File.Sync()
+}
+
+// BenchmarkPutSlowFlush is BenchmarkPut on a disk whose flush takes 2 ms more; what one flush for each put gives is its line with one writer.
+func BenchmarkPutSlowFlush(b *testing.B) {
+	for _, n := range []int{1, 8, 64, 512} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchPut(b, slowDisk{benchDir(b)}, n) })
+	}
 }
 
 // BenchmarkPutLatency has 16 writers overwrite 20,000 keys for five seconds, without and with compactions all the time.
--- a/internal/ledger/simdisk/simdisk.go
+++ b/internal/ledger/simdisk/simdisk.go
@@ -433,6 +433,21 @@
 	return next
 }
 
+// Flip turns one bit of a file, by seed, in [from, to) of it, as a disk does that forgets; the file keeps it through flushes and cuts.
+func (d *FS) Flip(name string, from, to int, seed uint64) (at int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rng := rand.New(rand.NewPCG(seed, 5))
+	at = from + rng.IntN(to-from)
+	bit := byte(1) << rng.IntN(8)
+	node := d.names[name]
+	node.view[at] ^= bit
+	if at < len(node.durable) {
+		node.durable[at] ^= bit
+	}
+	return at
+}
+
 // Files are the contents of all files, for a test to look at and change.
 func (d *FS) Files() map[string][]byte {
 	d.mu.Lock()
--- a/internal/ledger/torture_test.go
+++ b/internal/ledger/torture_test.go
@@ -691,3 +691,37 @@
 		}
 	}
 }
+
+// TestFlippedUnderneath: a bit that flips while the store is open is told by the read that meets it, hot or cold, and
+// is never passed off as a value.
+func TestFlippedUnderneath(t *testing.T) {
+	for seed := range uint64(60) {
+		fs := simdisk.New(seed)
+		s := mustOpen(t, fs, options())
+		for i := range 6 {
+			put(t, s, fmt.Sprint("k", i), strings.Repeat("v", 50))
+		}
+		g := s.active
+		if seed%2 == 1 {
+			if _, err := s.Compact(); err != nil {
+				t.Fatal(err)
+			}
+			g = s.sealed[0]
+		}
+		at := fs.Flip(g.name, format.SegmentHeader, int(g.size), seed)
+		damaged := 0
+		for i := range 6 {
+			v, err := s.Get([]byte(fmt.Sprint("k", i)))
+			var d *Damage
+			switch {
+			case errors.As(err, &d) && d.File == g.name:
+				damaged++
+			case err != nil || string(v) != strings.Repeat("v", 50):
+				t.Fatalf("seed %d, flipped at %d: %q, %v", seed, at, v, err)
+			}
+		}
+		if damaged == 0 && g.cold {
+			t.Errorf("seed %d: a bit flipped at %d of a cold segment went unnoticed", seed, at)
+		}
+	}
+}
