--- /dev/null
+++ b/internal/endpoint/endpoint_test.go
@@ -0,0 +1,198 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/standin"
+	"sloehitch/internal/tlskeys"
+)
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct{ in, want, wrong string }{
+		{"127.0.0.1:3030", "127.0.0.1:3030", ""},
+		{"uwsgi://[::1]:3030", "[::1]:3030", ""},
+		{"suwsgi://localhost:3030", "suwsgi://localhost:3030", ""},
+		{"unix:/run/a.sock", "unix:/run/a.sock", ""},
+		{"unix:", "", "path"},
+		{"unix:/" + strings.Repeat("x", 100), "", "100 bytes"},
+		{"http://127.0.0.1:1", "", "scheme"},
+		{"127.0.0.1", "", "host:port"},
+		{"127.0.0.1:", "", "host:port"},
+		{"suwsgi://", "", "host:port"},
+		{"", "", "host:port"},
+	} {
+		e, err := Parse(c.in)
+		if (err == nil) != (c.wrong == "") || err != nil && !strings.Contains(err.Error(), c.wrong) || err == nil && e.String() != c.want {
+			t.Errorf("%q: %v, %v; want %q %q", c.in, e, err, c.want, c.wrong)
+		}
+	}
+}
+
+// TestUnix: a socket has its mode from the start, a stale one is replaced, one that serves and a file that is no socket are not.
+func TestUnix(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s")
+	e, err := Parse("unix:" + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := e.Listen(0o640, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o640 {
+		t.Errorf("%v, %v", info.Mode(), err)
+	}
+	if _, err := e.Listen(0o600, nil); err == nil || !strings.Contains(err.Error(), "another process") {
+		t.Errorf("a second one: %v", err)
+	}
+	ln.(*unixListener).UnixListener.Close() // as a killed process leaves it
+	if _, err := os.Stat(path); err != nil {
+		t.Fatal(err)
+	}
+	if ln, err = e.Listen(0o600, nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := ln.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(path); err == nil {
+		t.Error("the name is still there")
+	}
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := e.Listen(0o600, nil); err == nil || !strings.Contains(err.Error(), "no socket") {
+		t.Errorf("over a file: %v", err)
+	}
+}
+
+// TestKeysChange: new keys are taken up in service, a bad or half pair is not, open connections go on, and each end
+// refuses another authority's certificate.
+func TestKeysChange(t *testing.T) {
+	dir := t.TempDir()
+	first, second := standin.NewAuthority(t), standin.NewAuthority(t)
+	far := time.Now().Add(500 * time.Hour)
+	cert, key, ca := first.Issue(t, dir, "server", "node.test", far)
+	var log bytes.Buffer
+	keys, err := tlskeys.Load(tlskeys.Files{Cert: cert, Key: key, CA: ca}, slog.New(slog.NewTextHandler(&log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := Parse("suwsgi://127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := e.Listen(0, nil); err == nil {
+		t.Error("TLS without keys")
+	}
+	ln, err := e.Listen(0, keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); io.Copy(c, c) }()
+		}
+	}()
+	e.Address = ln.Addr().String()
+	client := func(a *standin.Authority, prefix string) *tlskeys.Keys {
+		cert, key, ca := a.Issue(t, dir, prefix, "client.test", far)
+		k, err := tlskeys.Load(tlskeys.Files{Cert: cert, Key: key, CA: ca}, standin.Quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	talk := func(conn net.Conn, err error) error {
+		if err != nil {
+			return err
+		}
+		if err := conn.SetDeadline(time.Now().Add(standin.Patience)); err != nil {
+			return err
+		}
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err = io.ReadFull(conn, make([]byte, 1))
+		return err
+	}
+	dial := func(k *tlskeys.Keys, name string) (net.Conn, error) { return e.Dial(context.Background(), k, name) }
+	of1, of2 := client(first, "c1"), client(second, "c2")
+	open, err := dial(of1, "")
+	if err := talk(open, err); err != nil {
+		t.Fatal(err)
+	}
+	defer open.Close()
+	for _, c := range []struct {
+		name string
+		err  error
+	}{{"another authority's client", talk(dial(of2, ""))}, {"another name", talk(dial(of1, "other.test"))}} {
+		if c.err == nil {
+			t.Errorf("%s was let in", c.name)
+		}
+	}
+	plain, err := tls.Dial("tcp", e.Address, &tls.Config{InsecureSkipVerify: true})
+	if talk(plain, err) == nil {
+		t.Error("a client without a certificate was let in")
+	}
+	old, err := tls.Dial("tcp", e.Address, &tls.Config{InsecureSkipVerify: true, MaxVersion: tls.VersionTLS11})
+	if talk(old, err) == nil {
+		t.Error("TLS 1.1 was taken")
+	}
+
+	// A key without its certificate: the old pair stays in force, and is still there after it.
+	good, err := os.ReadFile(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(key, []byte("no key"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	keys.Check()
+	keys.Check()
+	if err := talk(dial(of1, "")); err != nil || strings.Count(log.String(), "stay as they were") != 1 {
+		t.Errorf("with a bad key in the file: %v; log %s", err, log.String())
+	}
+	if err := os.WriteFile(key, append(good, '\n'), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	second.Issue(t, dir, "server", "node.test", time.Now().Add(24*time.Hour))
+	if err := keys.Reload(); err != nil {
+		t.Fatal(err)
+	}
+	if err := talk(dial(of2, "node.test")); err != nil {
+		t.Errorf("with the new keys: %v", err)
+	}
+	if talk(dial(of1, "")) == nil {
+		t.Error("the old authority's client was let in after the change")
+	}
+	if err := talk(open, nil); err != nil {
+		t.Errorf("a connection that was open: %v", err)
+	}
+	if !strings.Contains(log.String(), "near its end") || keys.Expires().After(far.Add(-time.Hour)) {
+		t.Errorf("no word of the end at %v: %s", keys.Expires(), log.String())
+	}
+	_, _, _ = first.Issue(t, dir, "dead", "x", time.Now().Add(-time.Minute))
+	for _, f := range []tlskeys.Files{{Cert: cert}, {Cert: cert, Key: filepath.Join(dir, "c1.key")}, {CA: key}, {CA: filepath.Join(dir, "none")},
+		{Cert: filepath.Join(dir, "dead.pem"), Key: filepath.Join(dir, "dead.key")}} {
+		if _, err := tlskeys.Load(f, standin.Quiet); err == nil || !strings.Contains(err.Error(), "tls") {
+			t.Errorf("%s: %v", fmt.Sprint(f), err)
+		}
+	}
+}
