Keep a caller that leaves as its request starts from taking a place for good

Seen: the new conformance suite against our front, 1 run in 4: after some tens of clients that leave or send what is bad, requests were held for 15 s and refused with 503 while nothing ran. The module counted 16 running. Lines at fault: node.go Serve dropped a decision whose request was gone; when a caller leaves between the module's decision to run it and the core's hand on it, the module waits for an end that never comes, and has one run less for ever. Ruled out: the pool (no run open), the sick spell (no failures).

Change: such a decision is answered with an end that says that nothing was started.

A unit test starts 20 requests whose callers leave; without the change the third hangs.

--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -43,8 +43,13 @@
 func (c *serveCmd) serve(conn net.Conn) {
 	defer conn.Close()
 	vars, body, err := read(conn)
+	if err == errPing {
+		_, err = conn.Write(packet.Pong.Append(nil))
+	}
 	if err != nil {
 		slog.Warn("bad request", "error", err)
+	}
+	if vars.Len() == 0 || err != nil {
 		return
 	}
 	slog.Info("run", "method", vars.Get("REQUEST_METHOD"), "path", vars.Get("PATH_INFO"), "key", vars.Get("HTTP_IDEMPOTENCY_KEY"), "bytes", body)
@@ -58,13 +63,23 @@
 	}
 }
 
+// errPing says that the request was a ping.
+var errPing = errors.New("ping")
+
 // read reads a request's head and counts the bytes of its body.
 func read(conn net.Conn) (vars packet.Vars, body int64, err error) {
 	first := make([]byte, packet.HeaderSize)
 	if _, err := io.ReadFull(conn, first); err != nil {
 		return vars, 0, err
 	}
-	block := make([]byte, packet.ReadHeader(first).Size)
+	h := packet.ReadHeader(first)
+	if h == (packet.Header{Mod1: packet.Ping}) {
+		return vars, 0, errPing
+	}
+	if h.Mod1 != 0 {
+		return vars, 0, fmt.Errorf("modifier %d", h.Mod1)
+	}
+	block := make([]byte, h.Size)
 	if _, err := io.ReadFull(conn, block); err != nil {
 		return vars, 0, err
 	}
--- /dev/null
+++ b/internal/conformance/conformance.go
@@ -0,0 +1,218 @@
+// Package conformance checks speakers of the uwsgi protocol from outside: what is sent byte by byte, and what may come back. Each
+// case names the part of the published protocol, or of HTTP's gateway interface, that it comes from.
+package conformance
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"sync"
+	"syscall"
+	"time"
+
+	"sloehitch/internal/endpoint"
+	"sloehitch/internal/script"
+	"sloehitch/internal/uwsgi/packet"
+)
+
+// Want is what a speaker may answer.
+type Want string
+
+const (
+	Served  Want = "served"  // a sound response with the application's status and, if it echoes, the body
+	Refused Want = "refused" // a sound response of 400 and above, or the end of the connection without a byte
+	Either  Want = "either"  // one of the two: the protocol leaves it open, or asks for what not all do
+	Pong    Want = "pong"    // the answer to a ping, or the end without a byte
+	Quiet   Want = "quiet"   // the end of the connection without a byte, or a refusal
+)
+
+// Case is one exchange.
+type Case struct {
+	Name  string        `json:"name"` // group/what
+	From  string        `json:"from"` // where it comes from
+	Steps script.Script `json:"-"`
+	Want  Want          `json:"want"`
+	Echo  string        `json:"-"` // the body that the application got, if it was served
+	Head  bool          `json:"-"` // the request is a HEAD
+	Times int           `json:"-"` // played so often at once; 0: once
+}
+
+// Target is what is checked.
+type Target struct {
+	Address  endpoint.Endpoint
+	Path     string        // of an application that answers 200 to all methods
+	Echo     bool          // it answers with the body that it got
+	Patience time.Duration // for a case; a speaker that answers nothing by then has failed it
+}
+
+// Result is how a case ended.
+type Result struct {
+	Case
+	Passed bool          `json:"passed"`
+	Why    string        `json:"why,omitempty"`
+	Got    string        `json:"got,omitempty"` // the first bytes of a wrong answer
+	Took   time.Duration `json:"took_ns"`
+}
+
+// Run plays the cases whose names match, some at once, and returns the results in the cases' order.
+func Run(t Target, run *regexp.Regexp, atOnce int) []Result {
+	var list []Case
+	for _, c := range Cases(t.Path) {
+		if run == nil || run.MatchString(c.Name) {
+			list = append(list, c)
+		}
+	}
+	results := make([]Result, len(list))
+	gate := make(chan struct{}, max(1, atOnce))
+	var wait sync.WaitGroup
+	for i, c := range list {
+		wait.Go(func() {
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			results[i] = t.play(c)
+		})
+	}
+	wait.Wait()
+	return results
+}
+
+func (t Target) play(c Case) Result {
+	began := time.Now()
+	r := Result{Case: c}
+	errs := make(chan error, max(1, c.Times))
+	var got []byte
+	var mu sync.Mutex
+	for range cap(errs) {
+		go func() {
+			b, err := t.once(c)
+			if err != nil {
+				mu.Lock()
+				got = b
+				mu.Unlock()
+			}
+			errs <- err
+		}()
+	}
+	var err error
+	for range cap(errs) {
+		err = errors.Join(err, <-errs)
+	}
+	r.Took = time.Since(began)
+	if r.Passed = err == nil; !r.Passed {
+		r.Why, r.Got = err.Error(), fmt.Sprintf("%.120q", got)
+	}
+	return r
+}
+
+// once plays a case on one connection, and judges what came back.
+func (t Target) once(c Case) (got []byte, err error) {
+	conn, err := net.DialTimeout(t.Address.Network, t.Address.Address, t.Patience)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(t.Patience)); err != nil {
+		return nil, err
+	}
+	done := make(chan struct{})
+	go func() { // a speaker may answer before all is sent
+		defer close(done)
+		_, _ = c.Steps.Play(conn) // that it has hung up shows when its answer is read
+	}()
+	got, readErr := io.ReadAll(io.LimitReader(conn, 4<<20))
+	if errors.Is(readErr, os.ErrDeadlineExceeded) {
+		return got, errors.New("it neither answers nor hangs up in time")
+	}
+	conn.Close()
+	<-done
+	reset := errors.Is(readErr, syscall.ECONNRESET)
+	if readErr != nil && !reset {
+		return got, readErr
+	}
+	return got, t.judge(c, got, reset)
+}
+
+// judge says what is wrong with an answer.
+func (t Target) judge(c Case, got []byte, reset bool) error {
+	if len(got) == 0 {
+		if c.Want == Served {
+			return errors.New("it hung up without an answer")
+		}
+		return nil
+	}
+	if c.Want == Pong || got[0] == packet.Ping {
+		if c.Want != Pong || !bytes.Equal(got, packet.Pong.Append(nil)) {
+			return errors.New("not the answer to a ping, or not asked for")
+		}
+		return nil
+	}
+	head, body, err := whole(got, c.Head, reset)
+	if err != nil {
+		return err
+	}
+	refused := head.Status >= 400
+	switch c.Want {
+	case Refused, Quiet:
+		if !refused {
+			return fmt.Errorf("it was served with status %d", head.Status)
+		}
+	case Served:
+		if refused {
+			return fmt.Errorf("it was refused with status %d", head.Status)
+		}
+	}
+	if t.Echo && !refused && !c.Head && string(body) != c.Echo {
+		return fmt.Errorf("the application got %d bytes, not the %d of the body", len(body), len(c.Echo))
+	}
+	return nil
+}
+
+// whole reads one sound response and its body, chunks undone, and refuses what follows it.
+func whole(b []byte, headOnly, reset bool) (head packet.Head, body []byte, err error) {
+	for {
+		if head, err = packet.ReadHead(b, headOnly, 64<<10); err != nil {
+			return head, nil, err
+		}
+		b = b[head.Size:]
+		if head.Status >= 200 {
+			break
+		}
+	}
+	rest := head.Rest()
+	n, done, err := rest.Scan(b)
+	switch {
+	case err != nil:
+		return head, nil, err
+	case !done && !rest.ByClose():
+		return head, nil, fmt.Errorf("its body ends after %d bytes, before it is whole", n)
+	case rest.ByClose() && reset:
+		return head, nil, errors.New("the connection was reset within a body that its close ends")
+	case n < len(b):
+		return head, nil, fmt.Errorf("%d bytes follow its answer", len(b)-n)
+	}
+	if body = b[:n]; head.Body.Chunked {
+		body, err = unchunk(body)
+	}
+	return head, body, err
+}
+
+// unchunk takes the framing off a chunked body that was found sound.
+func unchunk(b []byte) (data []byte, err error) {
+	for {
+		line, rest, _ := bytes.Cut(b, []byte("\r\n"))
+		digits, _, _ := bytes.Cut(line, []byte(";"))
+		var n int
+		if _, err := fmt.Sscanf(string(digits), "%x", &n); err != nil {
+			return nil, err
+		}
+		if n == 0 {
+			return data, nil
+		}
+		data = append(data, rest[:n]...)
+		b = rest[n+2:]
+	}
+}
--- /dev/null
+++ b/internal/conformance/conformance_test.go
@@ -0,0 +1,116 @@
+package conformance_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/conformance"
+	"sloehitch/internal/endpoint"
+	"sloehitch/internal/standin"
+)
+
+func check(t *testing.T, address string) []conformance.Result {
+	t.Helper()
+	e, err := endpoint.Parse(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conformance.Run(conformance.Target{Address: e, Path: "/", Echo: true, Patience: standin.Patience}, nil, 8)
+}
+
+// TestCases: each has a name of its own and a source, and there are enough.
+func TestCases(t *testing.T) {
+	names := map[string]bool{}
+	for _, c := range conformance.Cases("/") {
+		if names[c.Name] || c.From == "" || c.Want == "" || !strings.Contains(c.Name, "/") {
+			t.Errorf("%+v", c)
+		}
+		names[c.Name] = true
+	}
+	if len(names) < 150 {
+		t.Errorf("%d cases", len(names))
+	}
+}
+
+// TestReference: a right speaker passes.
+func TestReference(t *testing.T) {
+	results := check(t, standin.NewEcho(t, "").Address)
+	if conformance.Failed(results) > 0 {
+		var b bytes.Buffer
+		if err := conformance.Table(&b, results, false); err != nil {
+			t.Fatal(err)
+		}
+		t.Error(b.String())
+	}
+}
+
+// TestMutants: a speaker that is wrong in one way fails the case that is there for it, which the right one passes.
+func TestMutants(t *testing.T) {
+	caught := map[string]string{
+		"length too large": "length/10 bytes", "length too small": "length/10 bytes", "closes early": "length/10 bytes", "answers twice": "variables/as they are",
+		"swallows the body": "length/10 bytes", "takes names twice": "variables/twice: HTTP_HOST", "takes a length and chunks": "length/5 and chunks",
+		"takes signs in lengths": `length/as "\+5"`, "takes line feeds in chunks": "bad chunks/line feeds only", "takes no pings": "ping/whole",
+		"wrong answer to pings": "ping/whole", "takes all modifiers": "modifier/173", "takes line ends in values": "variables/a line end in a value",
+		"cuts bodies at 4096": "length/4097 bytes", "hangs on what is bad": "length/as \"five\"", "takes short bodies": "length/a body that is too short",
+		"body to HEAD": "method/HEAD", "echoes the framing": "chunks/one", "reads past the body": "length/a body that is too long",
+		"garbage for a head": "variables/as they are", "takes any coding": `bad chunks/coding "xchunked"`,
+	}
+	for _, m := range standin.Mutants {
+		name, known := caught[m]
+		if !known {
+			t.Errorf("no case is there for %q", m)
+		}
+		for _, mutant := range []string{"", m} {
+			e, err := endpoint.Parse(standin.NewEcho(t, mutant).Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			target := conformance.Target{Address: e, Path: "/", Echo: true, Patience: standin.Patience}
+			if strings.HasPrefix(mutant, "hangs") {
+				target.Patience = 100 * time.Millisecond
+			}
+			results := conformance.Run(target, regexp.MustCompile("^"+name+"$"), 1)
+			if len(results) != 1 || results[0].Passed != (mutant == "") {
+				t.Errorf("%q on %s: %+v", mutant, name, results)
+			}
+		}
+	}
+}
+
+// TestReports: each form has all results and says which failed.
+func TestReports(t *testing.T) {
+	results := []conformance.Result{{Case: conformance.Case{Name: "a/b", From: "here", Want: conformance.Served}, Passed: true, Took: time.Second},
+		{Case: conformance.Case{Name: "a/<c>", From: "there", Want: conformance.Refused}, Why: "it was served", Got: `"x"`}}
+	var table, all, list, unit bytes.Buffer
+	for _, err := range []error{conformance.Table(&table, results, false), conformance.Table(&all, results, true),
+		conformance.JSON(&list, results), conformance.JUnit(&unit, results)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := table.String(); strings.Contains(got, "a/b") || !strings.Contains(got, "it was served") || !strings.HasSuffix(got, "1 passed, 1 failed\n") {
+		t.Error(got)
+	}
+	if !strings.Contains(all.String(), "a/b") {
+		t.Error(all.String())
+	}
+	var back []map[string]any
+	if err := json.Unmarshal(list.Bytes(), &back); err != nil || len(back) != 2 || back[0]["passed"] != true || back[1]["why"] != "it was served" {
+		t.Errorf("%v, %v", back, err)
+	}
+	var doc struct {
+		Failures int `xml:"failures,attr"`
+		Cases    []struct {
+			Name    string    `xml:"name,attr"`
+			Failure *struct{} `xml:"failure"`
+		} `xml:"testcase"`
+	}
+	if err := xml.Unmarshal(unit.Bytes(), &doc); err != nil || doc.Failures != 1 || len(doc.Cases) != 2 || doc.Cases[1].Name != "<c>" || doc.Cases[1].Failure == nil {
+		t.Errorf("%+v, %v", doc, err)
+	}
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -56,6 +56,21 @@
 	return e.Address
 }
 
+// Local says what is wrong with an address that is not on this machine's loopback.
+func (e Endpoint) Local() error {
+	if e.Network == "unix" {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(e.Address)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+		return fmt.Errorf("address %s: not a loopback address", e)
+	}
+	return nil
+}
+
 // Listen listens. mode is a Unix socket's; keys are needed with TLS. The socket of a process that has ended is replaced, that of one that
 // still serves is not.
 func (e Endpoint) Listen(mode fs.FileMode, keys *tlskeys.Keys) (net.Listener, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,11 +165,20 @@
 		if !ok {
 			return
 		}
-		n.mu.Lock()
-		if r := n.byNum[d.ID]; r != nil {
-			n.carryOut(r, d)
-		}
-		n.mu.Unlock()
+		n.decided(d)
+	}
+}
+
+// decided carries out one decision.
+func (n *Node) decided(d gate.Decision) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.byNum[d.ID]; r != nil {
+		n.carryOut(r, d)
+	} else if d.Verb == gate.Run || d.Verb == gate.Join {
+		// Its caller left, or it was answered, while the module decided to start it. The module counts it among what runs
+		// until it hears of an end: without this word it would hold one run less at once for ever after.
+		n.opts.Gate.Report(gate.Ended(d.ID, logic.Moot, 0))
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -218,6 +218,48 @@
 	}
 }
 
+// TestGoneAsItStarts: a caller that leaves while the module decides to start its request takes no place from others for good.
+func TestGoneAsItStarts(t *testing.T) {
+	b := newBench(t)
+	g, err := gate.New(b.opts.Settings, gate.Options{Now: b.clock.Now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.Close()
+	b.opts.Gate = g
+	picked := make(chan gate.Decision)
+	go func() {
+		for {
+			d, ok := g.Pick()
+			if !ok {
+				return
+			}
+			picked <- d
+		}
+	}()
+	for i := range 20 { // far more than run at once on two cores
+		id := fmt.Sprint(i)
+		b.submit(id, i%2, "k"+id, 0)
+		for {
+			var d gate.Decision
+			select {
+			case d = <-picked:
+			case <-time.After(standin.Patience):
+				t.Fatalf("request %d is not started: the ones before it still count", i)
+			}
+			if d.Verb != gate.Run {
+				continue // it keeps a key
+			}
+			b.Gone(id)
+			b.decided(d)
+			break
+		}
+	}
+	if got := b.work.String(); got != "" {
+		t.Errorf("started: %s", got)
+	}
+}
+
 // TestBegin: a response that has begun can't be refused any more, and only a run that is owed an answer and need not be kept may begin.
 func TestBegin(t *testing.T) {
 	b := newBench(t)
--- /dev/null
+++ b/internal/standin/echo.go
@@ -0,0 +1,229 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/uwsgi/packet"
+)
+
+// Echo is a uwsgi server that answers with the body that it got, and follows the protocol; or one that is wrong in one way, for tests of
+// what is to notice it.
+type Echo struct {
+	Address string
+	mutant  string
+}
+
+// Mutants are the ways in which an Echo can be wrong.
+var Mutants = []string{"length too large", "length too small", "closes early", "answers twice", "swallows the body", "takes names twice",
+	"takes a length and chunks", "takes signs in lengths", "takes line feeds in chunks", "takes no pings", "wrong answer to pings", "takes all modifiers",
+	"takes line ends in values", "cuts bodies at 4096", "hangs on what is bad", "takes short bodies", "body to HEAD", "echoes the framing", "reads past the body",
+	"garbage for a head", "takes any coding"}
+
+// NewEcho starts one; mutant is empty or one of Mutants.
+func NewEcho(t testing.TB, mutant string) *Echo {
+	ln := Listen(t)
+	e := &Echo{ln.Addr().String(), mutant}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e
+}
+
+func (e *Echo) serve(c net.Conn) {
+	defer c.Close()
+	if c.SetDeadline(time.Now().Add(Patience)) != nil {
+		return
+	}
+	in := bufio.NewReaderSize(c, 64<<10)
+	vars, body, err := e.read(in)
+	switch {
+	case err == errPing && e.mutant == "wrong answer to pings":
+		_, _ = c.Write([]byte{packet.Ping, 0, 0, 0})
+	case err == errPing:
+		_, _ = c.Write(packet.Pong.Append(nil))
+	case err == nil:
+		e.answer(c, vars.Get("REQUEST_METHOD"), body)
+	case e.mutant == "hangs on what is bad":
+		_, _ = io.Copy(io.Discard, in)
+		time.Sleep(Patience / 2)
+	case err != io.EOF:
+		_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+	}
+	if half, ok := c.(*net.TCPConn); ok {
+		_ = half.CloseWrite()
+		_, _ = io.Copy(io.Discard, in)
+	}
+}
+
+// read reads a request as the mutant does.
+func (e *Echo) read(in *bufio.Reader) (vars packet.Vars, body []byte, err error) {
+	first := make([]byte, packet.HeaderSize)
+	if _, err := io.ReadFull(in, first); err != nil {
+		return vars, nil, io.EOF
+	}
+	h := packet.ReadHeader(first)
+	if h.Mod1 == packet.Ping && h.Mod2 == 0 && h.Size == 0 && e.mutant != "takes no pings" {
+		return vars, nil, errPing
+	}
+	if h.Mod1 != 0 && e.mutant != "takes all modifiers" {
+		return vars, nil, packet.ErrMalformed
+	}
+	block := make([]byte, h.Size)
+	if _, err := io.ReadFull(in, block); err != nil {
+		return vars, nil, err
+	}
+	if e.mutant == "takes line ends in values" {
+		block = bytes.ReplaceAll(block, []byte("\r\n"), []byte("  "))
+	}
+	if e.mutant == "takes names twice" {
+		block = once(block)
+	}
+	if vars, err = packet.ReadVars(block, 2000); err != nil {
+		return vars, nil, err
+	}
+	body, err = e.body(in, vars)
+	return vars, body, err
+}
+
+// once makes the second of two equal names another one.
+func once(block []byte) []byte {
+	seen, b := map[string]bool{}, bytes.Clone(block)
+	for rest := b; len(rest) >= 2; {
+		n := int(rest[0]) | int(rest[1])<<8
+		if len(rest) < 4+n {
+			break
+		}
+		name := rest[2 : 2+n]
+		for seen[string(name)] {
+			name[0]++
+		}
+		seen[string(name)] = true
+		m := int(rest[2+n]) | int(rest[3+n])<<8
+		if len(rest) < 4+n+m {
+			break
+		}
+		rest = rest[4+n+m:]
+	}
+	return b
+}
+
+func (e *Echo) body(in *bufio.Reader, vars packet.Vars) ([]byte, error) {
+	kind, err := packet.RequestBody(vars)
+	length := vars.Get("CONTENT_LENGTH")
+	coding := vars.Get("HTTP_TRANSFER_ENCODING")
+	switch {
+	case e.mutant == "takes a length and chunks" && err != nil && length != "" && strings.EqualFold(coding, "chunked"):
+		kind, err = packet.Body{Length: -1, Chunked: true}, nil
+	case e.mutant == "takes any coding" && err != nil && coding != "" && length == "":
+		kind, err = packet.Body{Length: -1, Chunked: true}, nil
+	case e.mutant == "takes signs in lengths" && err != nil:
+		n, numErr := strconv.Atoi(length)
+		if numErr != nil || n < 0 {
+			return nil, err
+		}
+		kind, err = packet.Body{Length: int64(n)}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if kind.Chunked {
+		if e.mutant == "takes line feeds in chunks" {
+			raw, err := io.ReadAll(in)
+			if err != nil {
+				return nil, err
+			}
+			if !bytes.Contains(raw, []byte("\r")) {
+				raw = bytes.ReplaceAll(raw, []byte("\n"), []byte("\r\n"))
+			}
+			return e.chunks(bufio.NewReader(bytes.NewReader(raw)))
+		}
+		return e.chunks(in)
+	}
+	body := make([]byte, kind.Length)
+	n, err := io.ReadFull(in, body)
+	if e.mutant == "takes short bodies" {
+		return body[:n], nil
+	}
+	if e.mutant == "reads past the body" && err == nil {
+		time.Sleep(10 * time.Millisecond)
+		more := make([]byte, 1)
+		for in.Buffered() > 0 {
+			k, _ := in.Read(more)
+			body = append(body, more[:k]...)
+		}
+	}
+	return body, err
+}
+
+// chunks reads a chunked body and takes its framing off.
+func (e *Echo) chunks(in *bufio.Reader) ([]byte, error) {
+	var scan packet.Chunks
+	var raw []byte
+	for {
+		b, err := in.ReadByte()
+		if err != nil {
+			return nil, io.ErrUnexpectedEOF
+		}
+		raw = append(raw, b)
+		if _, done, err := scan.Scan(raw[len(raw)-1:]); err != nil {
+			return nil, err
+		} else if done {
+			break
+		}
+	}
+	if e.mutant == "echoes the framing" {
+		return raw, nil
+	}
+	return io.ReadAll(httputil.NewChunkedReader(bytes.NewReader(raw)))
+}
+
+// errPing says that the request was a ping.
+var errPing = errors.New("ping")
+
+func (e *Echo) answer(c net.Conn, method string, body []byte) {
+	n := len(body)
+	head := "HTTP/1.1 200 OK"
+	switch e.mutant {
+	case "length too large":
+		n++
+	case "length too small":
+		n = max(0, n-1)
+	case "swallows the body":
+		body, n = nil, 0
+	case "cuts bodies at 4096":
+		body = body[:min(len(body), 4096)]
+		n = len(body)
+	case "garbage for a head":
+		head = "200 OK"
+	}
+	text := fmt.Appendf(nil, "%s\r\nContent-Length: %d\r\n\r\n", head, n)
+	if method != "HEAD" || e.mutant == "body to HEAD" {
+		if method == "HEAD" {
+			body = []byte("body")
+		}
+		text = append(text, body...)
+	}
+	switch e.mutant {
+	case "answers twice":
+		text = append(text, text...)
+	case "closes early":
+		text = text[:len(text)/2]
+	}
+	_, _ = c.Write(text) // a client may have gone
+}
--- /dev/null
+++ b/internal/uwsgi/conformance_test.go
@@ -0,0 +1,29 @@
+package uwsgi
+
+import (
+	"bytes"
+	"testing"
+
+	"sloehitch/internal/conformance"
+	"sloehitch/internal/endpoint"
+	"sloehitch/internal/standin"
+)
+
+// TestConformance: the front passes the suite, with a right server below it.
+func TestConformance(t *testing.T) {
+	r := newRig(t, []string{standin.NewEcho(t, "").Address}, nil)
+	e, err := endpoint.Parse(r.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	results := conformance.Run(conformance.Target{Address: e, Path: "/", Echo: true, Patience: standin.Patience}, nil, 4)
+	if conformance.Failed(results) > 0 {
+		var b bytes.Buffer
+		if err := conformance.Table(&b, results, false); err != nil {
+			t.Fatal(err)
+		}
+		counts, hand, keys := r.node.Totals()
+		t.Errorf("%s\ncore %+v, %d in hand, %d keys; front %+v; servers %+v", b.String(), counts, hand, keys, r.Totals(), r.pool.Servers())
+	}
+	standin.WaitFor(t, "all is over", func() bool { return r.Open() == 0 && r.node.Owed() == 0 })
+}
--- a/internal/uwsgi/job.go
+++ b/internal/uwsgi/job.go
@@ -124,12 +124,13 @@
 			room = min(room, max(1, f.size-len(f.window)))
 		}
 		whole := f.whole
-		f.mu.Unlock()
 		deadline := time.Time{} // after the body a client may be quiet until it is answered
 		if !whole {
 			deadline = time.Now().Add(f.idle)
 		}
-		if err := f.conn.SetReadDeadline(deadline); err != nil {
+		err := f.conn.SetReadDeadline(deadline) // before the lock is let go: stop's own deadline must not be undone
+		f.mu.Unlock()
+		if err != nil {
 			f.fail(err)
 			return
 		}
--- a/internal/uwsgi/pool.go
+++ b/internal/uwsgi/pool.go
@@ -228,7 +228,9 @@
 	case !r.wrote:
 		outcome = logic.Moot // no server got a byte of it: it never ran
 		p.log.Warn("uwsgi run not started", err)
-	case stopped:
+	case stopped, errors.As(err, new(*bodyError)), errors.Is(err, errClient):
+		// The client's doing says nothing about how work goes here: taken for failures, a few bad clients would have the
+		// module hold back everybody's work.
 		outcome = logic.Cancelled
 	default:
 		outcome = logic.Failed // it may have run
