Show the daemon's figures to Prometheus, and test streams in a reload and a drain

Need: from the log alone an operator could not tell why requests were slow, refused or failed; nothing showed what happens to a response that streams when its server is taken off the list or the daemon is told to leave.

Change: internal/metrics reads the core's, the fronts', the servers' and the ledger's figures when they are asked for, and gathers the times of uwsgi runs by stage and outcome; off by default. Tests: a server taken off the list finishes what streams, a drain's end resets it. What reading the configuration leaves behind is given back after the start.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -405,6 +405,55 @@
 	}
 }
 
+// TestStreams: a server that is taken off the list finishes the response that streams, and at the end of a drain one that
+// still streams is broken off so that its client can tell.
+func TestStreams(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(s *served, hold chan struct{})
+		want string
+	}{
+		{"its server is taken off the list", func(s *served, hold chan struct{}) {
+			s.follow(store.UwsgiServers, "127.0.0.1:1") // as a reload does
+			close(hold)
+		}, "whole"},
+		{"SIGTERM", func(s *served, hold chan struct{}) {
+			s.stop <- syscall.SIGTERM
+			if err := <-s.stopped; err != nil {
+				t.Error(err)
+			}
+			close(hold)
+		}, "reset"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			hold := make(chan struct{})
+			server := standin.NewScripted(t, standin.Script{{Until: "/slots"}, {Send: "HTTP/1.1 200 OK\r\n\r\nfirst"}, {Wait: hold}, {Send: ", last"}})
+			s := serveNode(t, ample, standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "" }), server.Address)
+			conn, err := net.Dial("tcp", s.uwsgi)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := conn.SetDeadline(time.Now().Add(standin.Patience)); err != nil {
+				t.Fatal(err)
+			}
+			got, err := standin.Script{{Send: standin.Packet(t, "", get("/slots")...)}, {Until: "first"}}.Play(conn)
+			if err != nil {
+				t.Fatalf("%q, %v", got, err)
+			}
+			c.play(s, hold)
+			rest, err := io.ReadAll(conn)
+			end := map[bool]string{true: "reset", false: string(rest)}[errors.Is(err, syscall.ECONNRESET)]
+			if end == ", last" {
+				end = "whole"
+			}
+			if end != c.want {
+				t.Errorf("%q, %v; want it %s", rest, err, c.want)
+			}
+		})
+	}
+}
+
 // ask sends one uwsgi request and reads the whole response.
 func ask(t testing.TB, address string, body string, vars ...[2]string) string {
 	conn, err := net.Dial("tcp", address)
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -25,6 +25,7 @@
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/metrics"
 	"sloehitch/internal/node"
 	"sloehitch/internal/resp"
 	"sloehitch/internal/runtime"
@@ -59,6 +60,7 @@
 		return err
 	}
 	d.hup, d.load = hup, c.load
+	debug.FreeOSMemory() // what reading the configuration left behind would stay for good in a process that is mostly idle
 	return d.run(stop)
 }
 
@@ -76,12 +78,13 @@
 	listeners []net.Listener
 	pulse     *directory.Pulse
 	store     *store.Store
-	ledger    *ledger.Store    // nil where it is off
-	bookings  *bookings.Record // nil with it
-	servers   *uwsgi.Pool      // nil where uwsgi is off
-	keys      []*tlskeys.Keys  // of the uwsgi side
-	closed    atomic.Bool      // out of service by the operators' word
-	leaving   atomic.Bool      // the notice to leave has come
+	metrics   atomic.Pointer[metrics.Metrics] // nil where they are off
+	ledger    *ledger.Store                   // nil where it is off
+	bookings  *bookings.Record                // nil with it
+	servers   *uwsgi.Pool                     // nil where uwsgi is off
+	keys      []*tlskeys.Keys                 // of the uwsgi side
+	closed    atomic.Bool                     // out of service by the operators' word
+	leaving   atomic.Bool                     // the notice to leave has come
 	failed    chan error
 
 	link  *runtime.Link     // nil without a runtime
@@ -102,7 +105,7 @@
 // start wires the parts and sets them going.
 func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
 	p := l.platform
-	d := &daemon{platform: p, name: p.Name, limits: lim, log: log, failed: make(chan error, 2),
+	d := &daemon{platform: p, name: p.Name, limits: lim, log: log, failed: make(chan error, 4),
 		pulse: directory.New(p.Name, p.Lookup, lim, log)}
 	d.deploy.Store(l.deploy)
 	clock := systemClock{}
@@ -145,6 +148,9 @@
 	if err := d.startStore(l); err != nil {
 		return nil, err
 	}
+	if err := d.startMetrics(); err != nil {
+		return nil, err
+	}
 	go d.node.Serve()
 	go d.pulse.Serve(nil)
 	log.Info("serving", "listen", p.Listen, "uwsgi", l.deploy.Uwsgi.Listen, "runtime", p.Runtime,
@@ -232,7 +238,7 @@
 	d.listeners = append(d.listeners, ln)
 	rules := choice.Default()
 	rules.Most = u.ServerMost
-	d.servers = uwsgi.NewPool(uwsgi.PoolOptions{Rules: rules, Seed: seed(l.platform.Seed), Keys: below, Name: u.ServersTLS.Name, Limits: d.limits, Log: d.log})
+	d.servers = uwsgi.NewPool(uwsgi.PoolOptions{Rules: rules, Seed: seed(l.platform.Seed), Keys: below, Name: u.ServersTLS.Name, Over: d.runOver, Limits: d.limits, Log: d.log})
 	if err := d.servers.Use(u.Servers); err != nil {
 		return err
 	}
@@ -257,6 +263,37 @@
 	return k, err
 }
 
+// startMetrics shows the figures where the deployment file says so.
+func (d *daemon) startMetrics() error {
+	address := d.deploy.Load().Metrics.Listen
+	if address == "" {
+		return nil
+	}
+	from := metrics.Sources{Core: d.node.Totals, Resp: d.front.Open}
+	if d.uwsgi != nil {
+		from.Uwsgi = func() (uwsgi.Counts, int) { return d.uwsgi.Totals(), d.uwsgi.Open() }
+		from.Servers = d.servers.Servers
+	}
+	if d.ledger != nil {
+		from.Ledger = d.ledger.Stats
+	}
+	m := metrics.New(from)
+	d.metrics.Store(m)
+	ln, err := d.listen(address)
+	if err != nil {
+		return err
+	}
+	go func() { d.failed <- m.Serve(ln, d.limits, d.log) }()
+	return nil
+}
+
+// runOver hands a uwsgi run's times to the metrics, where they are on.
+func (d *daemon) runOver(r uwsgi.RunTimes) {
+	if m := d.metrics.Load(); m != nil {
+		m.Run(r)
+	}
+}
+
 // startStore opens this daemon's copy of the store, follows it and lets operators at it.
 func (d *daemon) startStore(l *loaded) (err error) {
 	c := l.deploy.Store
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -169,12 +169,19 @@
 	return err
 }
 
+// Metrics says where Prometheus finds the figures.
+type Metrics struct {
+	Listen string `toml:"listen"` // host:port of a private network; empty: off
+}
+
 // Deploy is our own file of deployment settings.
 type Deploy struct {
 	Uwsgi  Uwsgi  `toml:"uwsgi"`
 	Store  Store  `toml:"store"`
 	Ledger Ledger `toml:"ledger"`
 
+	Metrics Metrics `toml:"metrics"`
+
 	OpenAPI []byte `toml:"-"` // the text of the description
 }
 
@@ -210,7 +217,7 @@
 	if err := d.Ledger.check(); err != nil {
 		return nil, err
 	}
-	addresses := []string{d.Store.Admin}
+	addresses := []string{d.Store.Admin, d.Metrics.Listen}
 	for _, m := range d.Store.Members {
 		if m.Name == "" || m.Raft == "" {
 			return nil, errors.New("store: a member needs a name and a raft address")
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,156 @@
+// Package metrics shows the daemon's figures in Prometheus' text form. They are read where they are kept when they are asked for, so
+// that nothing is counted twice and nothing costs anything while nobody asks; only the times of uwsgi runs are gathered here.
+package metrics
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
+	"sloehitch/internal/uwsgi"
+	"sloehitch/internal/uwsgi/choice"
+)
+
+// Sources are what the figures are read from; nil where a part is off. They are called from the goroutines of those who ask.
+type Sources struct {
+	Core    func() (c node.Counts, hand, keys int)
+	Resp    func() int // open connections
+	Uwsgi   func() (c uwsgi.Counts, open int)
+	Servers func() []choice.Server
+	Ledger  func() ledger.Stats
+}
+
+// Metrics is the daemon's figures.
+type Metrics struct {
+	registry *prometheus.Registry
+	runs     *prometheus.HistogramVec
+}
+
+// buckets are for times in seconds: from a millisecond to beyond any due time.
+var buckets = prometheus.ExponentialBuckets(0.001, 2, 16)
+
+// New returns the figures of these sources.
+func New(s Sources) *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry(), runs: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "sloehitch_uwsgi_run_seconds", Help: "Of runs on uwsgi servers, by the stage that was reached and how the run ended.", Buckets: buckets}, []string{"stage", "outcome"})}
+	m.registry.MustRegister(m.runs, &collector{s}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Run takes in a uwsgi run that is over. A stage that was not reached is not counted.
+func (m *Metrics) Run(r uwsgi.RunTimes) {
+	for _, stage := range []struct {
+		name string
+		at   time.Time
+	}{{"connected", r.Connected}, {"first_byte", r.FirstByte}, {"done", r.Done}} {
+		if !stage.at.IsZero() {
+			m.runs.WithLabelValues(stage.name, r.Outcome).Observe(stage.at.Sub(r.Started).Seconds())
+		}
+	}
+}
+
+// Serve answers on ln until it is closed.
+func (m *Metrics) Serve(ln net.Listener, l limits.Limits, log *slog.Logger) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: 2,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}))
+	server := &http.Server{Handler: mux, ReadTimeout: l.Agree, WriteTimeout: 2 * l.Agree, MaxHeaderBytes: l.HTTPHead}
+	if err := server.Serve(ln); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// collector reads the sources.
+type collector struct{ from Sources }
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("sloehitch_"+name, help, labels, nil)
+}
+
+var (
+	requests   = desc("requests_total", "Requests by what became of them.", "outcome")
+	started    = desc("runs_total", "Runs that were started.")
+	handled    = desc("requests_in_hand", "Requests that are held, run or end.")
+	keys       = desc("keys", "Keys that are remembered.")
+	unrecorded = desc("bookings_unrecorded_total", "Bookings refused because their start could not be recorded.")
+	restored   = desc("bookings_restored", "Bookings known from an earlier process.")
+	conns      = desc("connections", "Open connections.", "front")
+	clients    = desc("uwsgi_requests_total", "What came to the uwsgi front.", "what")
+	serverOpen = desc("uwsgi_server_open", "Requests on a server.", "server")
+	serverRoom = desc("uwsgi_server_room", "Requests that a server may have at once.", "server")
+	serverIs   = desc("uwsgi_server_state", "1 for the state that a server is in.", "server", "state")
+	ledgerKeys = desc("ledger_keys", "Keys on the ledger.")
+	ledgerMem  = desc("ledger_index_bytes", "Memory of the ledger's keys.")
+	ledgerMost = desc("ledger_index_limit_bytes", "Memory that they may take.")
+	ledgerDisk = desc("ledger_disk_bytes", "Bytes of the ledger's files.")
+	ledgerDead = desc("ledger_garbage_bytes", "Bytes of records that no longer count.")
+	ledgerOut  = desc("ledger_written_bytes_total", "Bytes written to the ledger, by whom.", "by")
+	ledgerSync = desc("ledger_flushes_total", "Flushes of the ledger's log.")
+	ledgerSick = desc("ledger_broken", "1 if the ledger takes no writes until a restart.")
+)
+
+// Describe names nothing: the servers come and go.
+func (c *collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect reads all figures.
+func (c *collector) Collect(ch chan<- prometheus.Metric) {
+	send := func(d *prometheus.Desc, kind prometheus.ValueType, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, kind, v, labels...)
+	}
+	const total, now = prometheus.CounterValue, prometheus.GaugeValue
+	if c.from.Core != nil {
+		n, hand, known := c.from.Core()
+		for what, v := range map[string]int{"read": n.Read, "served": n.Served, "refused": n.Refused, "failed": n.Failed, "gone": n.Gone, "late": n.Late, "joined": n.Joined} {
+			send(requests, total, float64(v), what)
+		}
+		send(started, total, float64(n.Ran))
+		send(unrecorded, total, float64(n.Unrecorded))
+		send(restored, now, float64(n.Restored))
+		send(handled, now, float64(hand))
+		send(keys, now, float64(known))
+	}
+	if c.from.Resp != nil {
+		send(conns, now, float64(c.from.Resp()), "resp")
+	}
+	if c.from.Uwsgi != nil {
+		n, open := c.from.Uwsgi()
+		send(conns, now, float64(open), "uwsgi")
+		for what, v := range map[string]int{"read": n.Read, "malformed": n.Malformed, "oversize": n.Oversize, "slow": n.Slow, "left": n.Left, "crowded": n.Crowded,
+			"pings": n.Pings, "streamed": n.Streamed, "broken": n.Broken} {
+			send(clients, total, float64(v), what)
+		}
+	}
+	if c.from.Servers != nil {
+		for _, s := range c.from.Servers() {
+			send(serverOpen, now, float64(s.Open), s.Name)
+			send(serverRoom, now, float64(s.Room), s.Name)
+			send(serverIs, now, 1, s.Name, s.State.String())
+		}
+	}
+	if c.from.Ledger != nil {
+		t := c.from.Ledger()
+		broken := 0.0
+		if t.Broken != "" {
+			broken = 1
+		}
+		send(ledgerKeys, now, float64(t.Keys))
+		send(ledgerMem, now, float64(t.Index))
+		send(ledgerMost, now, float64(t.IndexLimit))
+		send(ledgerDisk, now, float64(t.Disk))
+		send(ledgerDead, now, float64(t.Garbage))
+		send(ledgerOut, total, float64(t.Written), "writers")
+		send(ledgerOut, total, float64(t.Packed), "compactions")
+		send(ledgerSync, total, float64(t.Flushes))
+		send(ledgerSick, now, broken)
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,65 @@
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/node"
+	"sloehitch/internal/standin"
+	"sloehitch/internal/uwsgi"
+	"sloehitch/internal/uwsgi/choice"
+)
+
+// TestMetrics: what is asked for over a socket has the figures of all sources, and only those of parts that are on.
+func TestMetrics(t *testing.T) {
+	get := func(s Sources, runs ...uwsgi.RunTimes) string {
+		t.Helper()
+		ln := standin.Listen(t)
+		m := New(s)
+		go m.Serve(ln, limits.For(64, 256), standin.Quiet)
+		for _, r := range runs {
+			m.Run(r)
+		}
+		resp, err := http.Get("http://" + ln.Addr().String() + "/metrics")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("%s, %v: %s", resp.Status, err, text)
+		}
+		return string(text)
+	}
+	at := time.UnixMilli(1764576000000)
+	all := get(Sources{
+		Core:  func() (node.Counts, int, int) { return node.Counts{Read: 7, Refused: 3, Unrecorded: 1}, 2, 5 },
+		Resp:  func() int { return 4 },
+		Uwsgi: func() (uwsgi.Counts, int) { return uwsgi.Counts{Malformed: 6}, 8 },
+		Servers: func() []choice.Server {
+			return []choice.Server{{Name: "127.0.0.1:1", State: choice.Out, Open: 1, Room: 9}}
+		},
+		Ledger: func() ledger.Stats { return ledger.Stats{Keys: 11, Broken: "a flush failed"} },
+	}, uwsgi.RunTimes{Started: at, Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second), Done: at.Add(4 * time.Second), Outcome: "ok"},
+		uwsgi.RunTimes{Started: at, Done: at.Add(time.Second), Outcome: "moot"})
+	for _, line := range []string{`sloehitch_requests_total{outcome="refused"} 3`, `sloehitch_bookings_unrecorded_total 1`, `sloehitch_requests_in_hand 2`,
+		`sloehitch_keys 5`, `sloehitch_connections{front="resp"} 4`, `sloehitch_connections{front="uwsgi"} 8`, `sloehitch_uwsgi_requests_total{what="malformed"} 6`,
+		`sloehitch_uwsgi_server_state{server="127.0.0.1:1",state="out"} 1`, `sloehitch_uwsgi_server_room{server="127.0.0.1:1"} 9`, `sloehitch_ledger_keys 11`,
+		`sloehitch_ledger_broken 1`, `sloehitch_uwsgi_run_seconds_sum{outcome="ok",stage="first_byte"} 3`,
+		`sloehitch_uwsgi_run_seconds_count{outcome="moot",stage="done"} 1`, `go_goroutines`} {
+		if !strings.Contains(all, "\n"+line) {
+			t.Errorf("no line %q", line)
+		}
+	}
+	if strings.Contains(all, `outcome="moot",stage="connected"`) {
+		t.Error("a stage that was not reached is counted")
+	}
+	if few := get(Sources{Core: func() (node.Counts, int, int) { return node.Counts{}, 0, 0 }}); strings.Contains(few, "ledger") || strings.Contains(few, "uwsgi") {
+		t.Errorf("figures of parts that are off:\n%s", few)
+	}
+}
--- a/internal/uwsgi/pool.go
+++ b/internal/uwsgi/pool.go
@@ -28,12 +28,22 @@
 type PoolOptions struct {
 	Rules  choice.Rules
 	Seed   uint64
-	Keys   *tlskeys.Keys // for servers with TLS; nil: the system's authorities, no certificate of our own
-	Name   string        // that their certificates must have; empty: the address's host
+	Keys   *tlskeys.Keys  // for servers with TLS; nil: the system's authorities, no certificate of our own
+	Name   string         // that their certificates must have; empty: the address's host
+	Over   func(RunTimes) // is told of each run that is over; nil: nobody. It must not block
 	Limits limits.Limits
 	Log    *slog.Logger
 }
 
+// RunTimes is when what happened to a run. Times of what did not happen are zero.
+type RunTimes struct {
+	Started, Connected, FirstByte, Done time.Time // the middle ones of the last try
+	Server                              string    // of the last try
+	Tries                               int
+	Outcome                             string // ok, failed, cancelled or moot
+	Why                                 string // of the last try that failed
+}
+
 // Pool runs requests on uwsgi servers. It is a runner of work for the core. What it does is chosen by package choice.
 type Pool struct {
 	opts   PoolOptions
@@ -57,30 +67,29 @@
 	body   []byte // of one that is held whole: all after the head
 	cancel context.CancelFunc
 	stop   bool
-	wrote  bool // a server may have got some of it
-	seen   seen // of the goroutine that runs it
+	wrote  bool     // a server may have got some of it
+	seen   RunTimes // of the goroutine that runs it
 }
 
-// seen is when what happened to a run, for the log.
-type seen struct {
-	started, connected, firstByte time.Time
-	server, why                   string // of the last try
-	tries                         int
-}
-
-// log tells of a run at the level for debugging: where its time went, and why tries failed.
-func (r *run) log(l *slog.Logger, o gate.Outcome) {
-	if !l.Enabled(context.Background(), slog.LevelDebug) {
+// over tells the log, at the level for debugging, and whoever else is to know, where a run's time went and why tries failed.
+func (p *Pool) over(r *run, o gate.Outcome) {
+	t := &r.seen
+	t.Outcome = map[gate.Outcome]string{logic.OK: "ok", logic.Failed: "failed", logic.Cancelled: "cancelled", logic.Moot: "moot"}[o]
+	t.Done = time.Now()
+	if p.opts.Over != nil {
+		p.opts.Over(*t)
+	}
+	if !p.opts.Log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
-	since := func(t time.Time) time.Duration {
-		if t.IsZero() {
+	since := func(at time.Time) time.Duration {
+		if at.IsZero() {
 			return -1
 		}
-		return t.Sub(r.seen.started)
+		return at.Sub(t.Started)
 	}
-	l.Debug("uwsgi run over", "id", r.id, "outcome", int(o), "server", r.seen.server, "tries", r.seen.tries, "connected", since(r.seen.connected),
-		"first_byte", since(r.seen.firstByte), "took", time.Since(r.seen.started), "failed", r.seen.why)
+	p.opts.Log.Debug("uwsgi run over", "id", r.id, "outcome", t.Outcome, "server", t.Server, "tries", t.Tries, "connected", since(t.Connected),
+		"first_byte", since(t.FirstByte), "took", since(t.Done), "failed", t.Why)
 }
 
 // NewPool returns a pool without servers. Serve must be called before it gets work.
@@ -157,7 +166,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), j.due)
 	r := &run{id: id, job: j, body: body, cancel: cancel}
 	p.runs[id] = r
-	r.seen.started = time.Now()
+	r.seen.Started = time.Now()
 	go p.run(ctx, r)
 }
 
@@ -196,7 +205,7 @@
 			break
 		}
 		tried = append(tried, name)
-		r.seen.server, r.seen.tries = name, len(tried)
+		r.seen.Server, r.seen.Tries = name, len(tried)
 		t := try{pool: p, run: r, name: name}
 		result, err = t.do(ctx)
 		now := time.Now()
@@ -212,7 +221,7 @@
 		if err == nil || !again {
 			break
 		}
-		r.seen.why = err.Error()
+		r.seen.Why = err.Error()
 		p.log.Warn("uwsgi try failed, another follows", err)
 		if !r.job.body.rewind() {
 			break
@@ -237,9 +246,9 @@
 		p.log.Warn("uwsgi run failed", err)
 	}
 	if err != nil {
-		r.seen.why = err.Error()
+		r.seen.Why = err.Error()
 	}
-	r.log(p.opts.Log, outcome)
+	p.over(r, outcome)
 	p.events.Ended(r.id, outcome, time.Since(began), result)
 }
 
--- a/internal/uwsgi/try.go
+++ b/internal/uwsgi/try.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	defer conn.Close()
-	t.run.seen.connected = time.Now()
+	t.run.seen.Connected = time.Now()
 	over := context.AfterFunc(ctx, func() { conn.Close() }) // stopped, or out of time
 	defer over()
 
@@ -147,7 +147,7 @@
 		k, err := conn.Read(buf[n:])
 		if k > 0 && t.took == 0 {
 			t.took = time.Since(began)
-			t.run.seen.firstByte = time.Now()
+			t.run.seen.FirstByte = time.Now()
 		}
 		n += k
 		for n > 0 {
