Trace uwsgi requests, and test trickling servers and a want of descriptors

Need: which of holding, connecting, waiting for the application or a failed try made one request slow could not be told.

Change: internal/traces makes OpenTelemetry spans of the times noted on a request's way once it is over, in the client's trace where it names one, and writes them to a file without holding anybody up. Tests: a server that sends a byte at a time is cut off when due, and with no descriptors left what streams goes on, what comes is answered and no server is blamed.

--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -31,6 +32,7 @@
 	"sloehitch/internal/runtime"
 	"sloehitch/internal/store"
 	"sloehitch/internal/tlskeys"
+	"sloehitch/internal/traces"
 	"sloehitch/internal/uwsgi"
 	"sloehitch/internal/uwsgi/choice"
 	"sloehitch/logic"
@@ -79,6 +81,7 @@
 	pulse     *directory.Pulse
 	store     *store.Store
 	metrics   atomic.Pointer[metrics.Metrics] // nil where they are off
+	traces    *traces.Traces                  // nil where they are off
 	ledger    *ledger.Store                   // nil where it is off
 	bookings  *bookings.Record                // nil with it
 	servers   *uwsgi.Pool                     // nil where uwsgi is off
@@ -243,14 +246,42 @@
 		return err
 	}
 	d.servers.Serve(d.node)
+	over, err := d.openTraces()
+	if err != nil {
+		return err
+	}
 	classes := l.platform.Logic.Classes
-	d.uwsgi = uwsgi.New(uwsgi.Options{Core: d.node, Mapper: l.operations, Pool: d.servers, Limits: d.limits, Log: d.log,
+	d.uwsgi = uwsgi.New(uwsgi.Options{Over: over, Core: d.node, Mapper: l.operations, Pool: d.servers, Limits: d.limits, Log: d.log,
 		Safe: func(class int) bool { return classes[class].Effect == logic.Safe }, Well: func() bool { return !d.closed.Load() },
 		Modifiers: u.ModifierBytes(), Deadline: u.Deadline, HalfClose: u.HalfClose == "leaves", PerSource: u.PerSource, BodyMost: u.BodyMost()})
 	go func() { d.failed <- d.uwsgi.Serve(ln) }()
 	return nil
 }
 
+// openTraces opens the file for spans where the deployment file names one, and returns who takes requests that are over.
+func (d *daemon) openTraces() (func(uwsgi.RequestTimes), error) {
+	c := d.deploy.Load().Traces
+	if c.File == "" {
+		return nil, nil
+	}
+	t, err := traces.Open(c.File, d.name, c.Part(), d.limits, d.log)
+	if err != nil {
+		return nil, err
+	}
+	d.traces = t
+	return t.Request, nil
+}
+
+// closeTraces writes the spans that are left.
+func (d *daemon) closeTraces() error {
+	if d.traces == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), d.limits.Write)
+	defer cancel()
+	return d.traces.Close(ctx)
+}
+
 // loadKeys reads one end's keys; nil where none are named.
 func (d *daemon) loadKeys(t config.TLS) (*tlskeys.Keys, error) {
 	if t.Files() == (tlskeys.Files{}) {
@@ -352,7 +383,7 @@
 	for {
 		select {
 		case err := <-d.failed:
-			return errors.Join(err, d.closeLedger())
+			return errors.Join(err, d.closeLedger(), d.closeTraces())
 		case <-sweep.C:
 			d.node.Sweep()
 			d.front.Sweep()
@@ -369,7 +400,7 @@
 			d.reload()
 		case <-stop:
 			d.leave()
-			return errors.Join(d.store.Close(), d.closeLedger())
+			return errors.Join(d.store.Close(), d.closeLedger(), d.closeTraces())
 		}
 	}
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,8 @@
 		{"TLS without keys", strings.Replace(on, "127.0.0.1:3030", "suwsgi://127.0.0.1:3030", 1), "tls.cert"},
 		{"a certificate without its key", on + "[uwsgi.servers_tls]\ncert = \"a\"\n", "together"},
 		{"a scheme that is none", strings.Replace(on, "127.0.0.1:3031", "http://127.0.0.1:3031", 1), "scheme"},
+		{"traces", "[traces]\nfile = \"t\"\nshare = 0.1\n", ""},
+		{"more traces than requests", "[traces]\nshare = 2.0\n", "0 to 1"},
 		{"a ledger", "[ledger]\ndir = \"d\"\nflush = \"20ms\"\nmemory_mb = 8\n", ""},
 		{"a ledger by default", "[ledger]\ndir = \"d\"\n", ""},
 		{"a ledger without a folder", "[ledger]\nflush = \"each\"\n", "dir"},
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -174,6 +174,27 @@
 	Listen string `toml:"listen"` // host:port of a private network; empty: off
 }
 
+// Traces says where spans of uwsgi requests are written.
+type Traces struct {
+	File  string   `toml:"file"`  // empty: off
+	Share *float64 `toml:"share"` // of requests, 0 to 1; by default 1. Those whose client traces them are written in any case
+}
+
+// Part is the share of requests that are traced.
+func (t Traces) Part() float64 {
+	if t.Share == nil {
+		return 1
+	}
+	return *t.Share
+}
+
+func (t Traces) check() error {
+	if p := t.Part(); p < 0 || p > 1 {
+		return fmt.Errorf("traces: share is %v; write 0 to 1", p)
+	}
+	return nil
+}
+
 // Deploy is our own file of deployment settings.
 type Deploy struct {
 	Uwsgi  Uwsgi  `toml:"uwsgi"`
@@ -181,6 +202,7 @@
 	Ledger Ledger `toml:"ledger"`
 
 	Metrics Metrics `toml:"metrics"`
+	Traces  Traces  `toml:"traces"`
 
 	OpenAPI []byte `toml:"-"` // the text of the description
 }
@@ -214,7 +236,7 @@
 	if err := decoder.Decode(d); err != nil {
 		return nil, err
 	}
-	if err := d.Ledger.check(); err != nil {
+	if err := errors.Join(d.Ledger.check(), d.Traces.check()); err != nil {
 		return nil, err
 	}
 	addresses := []string{d.Store.Admin, d.Metrics.Listen}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,7 @@
 	Response   int // bytes of a response from a uwsgi server that is held whole
 	UwsgiConns int // uwsgi callers at once, on either side
 	HTTPHead   int // bytes of a response's head
+	TraceQueue int // spans that wait to be written
 
 	Agree                 time.Duration // for a change of the store, and for an operator's request
 	Beat                  time.Duration // of silence after which the store's members elect a leader
@@ -111,7 +112,7 @@
 		Body:      2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
 		Backlog: 512 << 10, NoticeLine: 64 << 10,
 		KeptResult: 16 << 10, KeptResults: int(memory / 8),
-		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Window: 32 << 10, Response: 256 << 10, HTTPHead: 16 << 10,
+		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Window: 32 << 10, Response: 256 << 10, HTTPHead: 16 << 10, TraceQueue: 2048,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
 		Exchange:   time.Minute, BodyIdle: 10 * time.Second, Linger: time.Second, PoolTick: 50 * time.Millisecond, KeyWatch: 2 * time.Second,
 		Newcomer: 10 * time.Millisecond, Quiet: 200 * time.Millisecond, Ahead: 5 * time.Second, Behind: 10 * time.Minute,
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,10 +48,11 @@
 
 // Run takes in a uwsgi run that is over. A stage that was not reached is not counted.
 func (m *Metrics) Run(r uwsgi.RunTimes) {
+	last, _ := r.Last()
 	for _, stage := range []struct {
 		name string
 		at   time.Time
-	}{{"connected", r.Connected}, {"first_byte", r.FirstByte}, {"done", r.Done}} {
+	}{{"connected", last.Connected}, {"first_byte", last.FirstByte}, {"done", r.Done}} {
 		if !stage.at.IsZero() {
 			m.runs.WithLabelValues(stage.name, r.Outcome).Observe(stage.at.Sub(r.Started).Seconds())
 		}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -45,7 +45,7 @@
 			return []choice.Server{{Name: "127.0.0.1:1", State: choice.Out, Open: 1, Room: 9}}
 		},
 		Ledger: func() ledger.Stats { return ledger.Stats{Keys: 11, Broken: "a flush failed"} },
-	}, uwsgi.RunTimes{Started: at, Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second), Done: at.Add(4 * time.Second), Outcome: "ok"},
+	}, uwsgi.RunTimes{Started: at, Tries: []uwsgi.TryTimes{{Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second)}}, Done: at.Add(4 * time.Second), Outcome: "ok"},
 		uwsgi.RunTimes{Started: at, Done: at.Add(time.Second), Outcome: "moot"})
 	for _, line := range []string{`sloehitch_requests_total{outcome="refused"} 3`, `sloehitch_bookings_unrecorded_total 1`, `sloehitch_requests_in_hand 2`,
 		`sloehitch_keys 5`, `sloehitch_connections{front="resp"} 4`, `sloehitch_connections{front="uwsgi"} 8`, `sloehitch_uwsgi_requests_total{what="malformed"} 6`,
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -49,10 +49,21 @@
 	HalfClose bool                 // a client that shuts its sending side has left
 	PerSource int                  // connections from one host; 0: as many as there are places
 	BodyMost  int64                // bytes of a body that is passed on as it comes
+	Over      func(RequestTimes)   // is told of each request that the core was asked about; nil: nobody. It must not block
 	Limits    limits.Limits
 	Log       *slog.Logger
 }
 
+// RequestTimes is what happened to a request that the core was asked about.
+type RequestTimes struct {
+	ID             string
+	Parent         string // the client's traceparent
+	Read, Answered time.Time
+	Outcome        string // served, refused, failed or left
+	Streamed       bool
+	Run            RunTimes // of one that ran and is over
+}
+
 // Counts are totals since the start.
 type Counts struct{ Read, Malformed, Oversize, Slow, Left, Crowded, Pings, Streamed, Broken int }
 
@@ -209,7 +220,15 @@
 			q.KB = max(1, float64(int64(len(head))+min(body.Length, int64(lim.Window)))/1024)
 		}
 	}
-	f.ask(c, q, j)
+	outcome := f.ask(c, q, j)
+	if f.opts.Over == nil {
+		return
+	}
+	t := RequestTimes{ID: q.ID, Parent: vars.Get("HTTP_TRACEPARENT"), Read: arrived, Answered: time.Now(), Outcome: outcome, Streamed: j.passed()}
+	j.mu.Lock()
+	t.Run = j.run
+	j.mu.Unlock()
+	f.opts.Over(t)
 }
 
 // told is how long the client waits, where it says so.
@@ -224,8 +243,8 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// ask has the core answer a request, and writes the answer.
-func (f *Front) ask(c net.Conn, q node.Request, j *job) {
+// ask has the core answer a request, writes the answer, and says what became of the request.
+func (f *Front) ask(c net.Conn, q node.Request, j *job) (outcome string) {
 	j.core = func() bool { return f.opts.Core.Begin(q.ID) }
 	j.due = f.due(q)
 	answers := make(chan node.Answer, 1)
@@ -241,13 +260,13 @@
 		case a = <-answers:
 		default:
 			f.left(c, j)
-			return
+			return "left"
 		}
 	case <-j.body.extra:
 		// What follows a body may be another request in the eyes of whoever is between: neither is answered as if it were sound.
 		f.opts.Core.Gone(q.ID)
 		f.badBody(c, j, fmt.Errorf("%w: bytes behind the body", packet.ErrMalformed))
-		return
+		return "left"
 	}
 	switch {
 	case a.Begun && a.Kind == node.Served:
@@ -259,6 +278,7 @@
 	default:
 		f.answer(c, j.body, render(a))
 	}
+	return map[node.Kind]string{node.Served: "served", node.Refused: "refused", node.Failed: "failed"}[a.Kind]
 }
 
 // due is when the core will have answered at the latest, for the pool's own guard.
--- a/internal/uwsgi/job.go
+++ b/internal/uwsgi/job.go
@@ -26,6 +26,14 @@
 
 	mu    sync.Mutex
 	begun bool
+	run   RunTimes // once it is over
+}
+
+// ran notes how the job's run went.
+func (j *job) ran(r RunTimes) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.run = r
 }
 
 // begin says whether the response may be passed on from now on.
--- a/internal/uwsgi/pool.go
+++ b/internal/uwsgi/pool.go
@@ -37,13 +37,30 @@
 
 // RunTimes is when what happened to a run. Times of what did not happen are zero.
 type RunTimes struct {
-	Started, Connected, FirstByte, Done time.Time // the middle ones of the last try
-	Server                              string    // of the last try
-	Tries                               int
-	Outcome                             string // ok, failed, cancelled or moot
-	Why                                 string // of the last try that failed
+	Started, Done time.Time
+	Tries         []TryTimes
+	Outcome       string // ok, failed, cancelled or moot
+	Why           string // it did not go well
 }
 
+// TryTimes is when what happened to a try on a server.
+type TryTimes struct {
+	Server                             string
+	Began, Connected, FirstByte, Ended time.Time
+	Why                                string // it did not go well
+}
+
+// last is the last try; one without times where there was none.
+func (r *RunTimes) last() TryTimes {
+	if len(r.Tries) == 0 {
+		return TryTimes{}
+	}
+	return r.Tries[len(r.Tries)-1]
+}
+
+// Last is the last try, and whether there was one.
+func (r RunTimes) Last() (TryTimes, bool) { return r.last(), len(r.Tries) > 0 }
+
 // Pool runs requests on uwsgi servers. It is a runner of work for the core. What it does is chosen by package choice.
 type Pool struct {
 	opts   PoolOptions
@@ -74,8 +91,10 @@
 // over tells the log, at the level for debugging, and whoever else is to know, where a run's time went and why tries failed.
 func (p *Pool) over(r *run, o gate.Outcome) {
 	t := &r.seen
+	last := t.last()
 	t.Outcome = map[gate.Outcome]string{logic.OK: "ok", logic.Failed: "failed", logic.Cancelled: "cancelled", logic.Moot: "moot"}[o]
 	t.Done = time.Now()
+	r.job.ran(*t)
 	if p.opts.Over != nil {
 		p.opts.Over(*t)
 	}
@@ -88,8 +107,8 @@
 		}
 		return at.Sub(t.Started)
 	}
-	p.opts.Log.Debug("uwsgi run over", "id", r.id, "outcome", t.Outcome, "server", t.Server, "tries", t.Tries, "connected", since(t.Connected),
-		"first_byte", since(t.FirstByte), "took", since(t.Done), "failed", t.Why)
+	p.opts.Log.Debug("uwsgi run over", "id", r.id, "outcome", t.Outcome, "server", last.Server, "tries", len(t.Tries), "connected", since(last.Connected),
+		"first_byte", since(last.FirstByte), "took", since(t.Done), "failed", t.Why)
 }
 
 // NewPool returns a pool without servers. Serve must be called before it gets work.
@@ -205,10 +224,13 @@
 			break
 		}
 		tried = append(tried, name)
-		r.seen.Server, r.seen.Tries = name, len(tried)
-		t := try{pool: p, run: r, name: name}
+		t := try{pool: p, run: r, name: name, seen: TryTimes{Server: name, Began: time.Now()}}
 		result, err = t.do(ctx)
 		now := time.Now()
+		if t.seen.Ended = now; err != nil {
+			t.seen.Why = err.Error()
+		}
+		r.seen.Tries = append(r.seen.Tries, t.seen)
 		p.mu.Lock()
 		p.grant(p.choice.Ended(now, name, t.result, t.took))
 		r.wrote = r.wrote || t.wrote
@@ -221,7 +243,6 @@
 		if err == nil || !again {
 			break
 		}
-		r.seen.Why = err.Error()
 		p.log.Warn("uwsgi try failed, another follows", err)
 		if !r.job.body.rewind() {
 			break
--- a/internal/uwsgi/try.go
+++ b/internal/uwsgi/try.go
@@ -25,6 +25,7 @@
 	begun  bool          // part of the response is with the client
 	result choice.Result // what it says of the server
 	took   time.Duration // to the first byte of the response
+	seen   TryTimes
 }
 
 // buffers are for bytes on their way from servers to clients.
@@ -52,7 +53,7 @@
 		return nil, err
 	}
 	defer conn.Close()
-	t.run.seen.Connected = time.Now()
+	t.seen.Connected = time.Now()
 	over := context.AfterFunc(ctx, func() { conn.Close() }) // stopped, or out of time
 	defer over()
 
@@ -147,7 +148,7 @@
 		k, err := conn.Read(buf[n:])
 		if k > 0 && t.took == 0 {
 			t.took = time.Since(began)
-			t.run.seen.FirstByte = time.Now()
+			t.seen.FirstByte = time.Now()
 		}
 		n += k
 		for n > 0 {
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -455,6 +455,85 @@
 	}
 }
 
+// TestTimes: whoever asks for it hears of each request once, with all its tries.
+func TestTimes(t *testing.T) {
+	bad := standin.NewScripted(t, standin.Script{{Until: "/"}})
+	good := standin.NewScripted(t, reply("/", fine))
+	times := make(chan RequestTimes, 9)
+	r := newRig(t, []string{bad.Address, good.Address}, func(o *Options, _ *PoolOptions) { o.Over = func(x RequestTimes) { times <- x } })
+	if got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "", at("/", [2]string{"HTTP_TRACEPARENT", "p"})...)}}); got != fine || err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+	x := <-times
+	last, ran := x.Run.Last()
+	if x.Outcome != "served" || x.Parent != "p" || !ran || len(x.Run.Tries) != 2 || x.Run.Tries[0].Why == "" || last.Why != "" || last.Server != good.Address ||
+		x.Run.Outcome != "ok" || last.FirstByte.Before(last.Connected) || x.Answered.Before(x.Run.Done) || len(times) > 0 {
+		t.Errorf("%+v", x)
+	}
+	if got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "", at("/none")...)}}); !strings.HasPrefix(got, "HTTP/1.1 404 ") || err != nil || len(times) > 0 {
+		t.Errorf("one that the core was not asked about: %q, %v, %d", got, err, len(times))
+	}
+}
+
+// TestTrickle: a server that sends a byte at a time and never ends is cut off when the request is due, and its client can tell.
+func TestTrickle(t *testing.T) {
+	trickle := standin.Script{{Until: "/write"}, {Send: "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"}}
+	for range 2000 {
+		trickle = append(trickle, standin.Step{Pause: 5 * time.Millisecond}, standin.Step{Send: "x"})
+	}
+	s := standin.NewScripted(t, trickle)
+	r := newRig(t, []string{s.Address}, func(o *Options, _ *PoolOptions) { o.Deadline = "HTTP_X_DEADLINE_MS" })
+	got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "", at("/write", [2]string{"HTTP_X_DEADLINE_MS", "200"})...)}})
+	if !errors.Is(err, syscall.ECONNRESET) || !strings.HasPrefix(got, "HTTP/1.1 200 ") || r.Totals().Broken != 1 {
+		t.Errorf("%d bytes, %v; %+v", len(got), err, r.Totals())
+	}
+	standin.WaitFor(t, "all is over", func() bool { return r.Open() == 0 && r.node.Owed() == 0 && len(s.Got()) == 1 })
+}
+
+// TestNoDescriptors: when the daemon can open no more, what streams goes on, what comes is answered, and nothing is held against the servers.
+func TestNoDescriptors(t *testing.T) {
+	hold := make(chan struct{})
+	s := standin.NewScripted(t, standin.Script{{Until: "/"}, {Send: "HTTP/1.1 200 OK\r\n\r\nfirst"}, {Wait: hold}, {Send: ", last"}})
+	r := newRig(t, []string{s.Address}, nil)
+	stream := r.dial(t)
+	if got, err := (standin.Script{{Send: standin.Packet(t, "", at("/")...)}, {Until: "first"}}).Play(stream); err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+	next := r.dial(t)
+	standin.WaitFor(t, "the next one is seated", func() bool { return r.Open() == 2 })
+	var was syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	none := was
+	none.Cur = 0 // what is open stays open
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &none); err != nil {
+		t.Fatal(err)
+	}
+	got, err := func() (string, error) {
+		defer func() {
+			if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &was); err != nil {
+				t.Error(err)
+			}
+		}()
+		if _, err := io.WriteString(next, standin.Packet(t, "", at("/write")...)); err != nil {
+			return "", err
+		}
+		b, err := io.ReadAll(next)
+		return string(b), err
+	}()
+	if !strings.HasPrefix(got, "HTTP/1.1 502 ") || err != nil {
+		t.Errorf("without descriptors: %q, %v", got, err)
+	}
+	if e := r.pool.Servers()[0]; e.Fails != 0 || e.State != choice.In {
+		t.Errorf("held against the server: %+v", e)
+	}
+	close(hold)
+	if rest, err := io.ReadAll(stream); string(rest) != ", last" || err != nil {
+		t.Errorf("what streamed: %q, %v", rest, err)
+	}
+}
+
 // TestProbe: a server that was down is pinged, and gets work again once it answers.
 func TestProbe(t *testing.T) {
 	ln := standin.Listen(t)
