Bound all body windows together, and test drains, silent servers and late leavers

Need: the windows of held bodies were bounded one by one only, and four hard cases stood without a test of their own.

Change: a body for whose window there is no room is refused with when to come back before it is read (limits.Windows, an eighth of the memory). Tests: 300 responses that stream at the end of a drain are all reset and nothing is owed; a server that accepts and says nothing costs one request its own time and is left out; 300 callers that leave round the moment of their answer leave no request, goroutine or descriptor.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -29,6 +29,7 @@
 	VarCount   int // and their number
 	Content    int // bytes of a uwsgi request's body that is held whole
 	Window     int // bytes of a uwsgi request's body that are here while it waits or is passed on
+	Windows    int // and of all of them together
 	Response   int // bytes of a response from a uwsgi server that is held whole
 	UwsgiConns int // uwsgi callers at once, on either side
 	HTTPHead   int // bytes of a response's head
@@ -112,7 +113,7 @@
 		Body:      2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
 		Backlog: 512 << 10, NoticeLine: 64 << 10,
 		KeptResult: 16 << 10, KeptResults: int(memory / 8),
-		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Window: 32 << 10, Response: 256 << 10, HTTPHead: 16 << 10, TraceQueue: 2048,
+		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Window: 32 << 10, Windows: int(memory / 8), Response: 256 << 10, HTTPHead: 16 << 10, TraceQueue: 2048,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
 		Exchange:   time.Minute, BodyIdle: 10 * time.Second, Linger: time.Second, PoolTick: 50 * time.Millisecond, KeyWatch: 2 * time.Second,
 		Newcomer: 10 * time.Millisecond, Quiet: 200 * time.Millisecond, Ahead: 5 * time.Second, Behind: 10 * time.Minute,
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -78,6 +78,7 @@
 	next    uint64
 	counts  Counts
 	sources map[string]int
+	windows int // bytes of bodies that may be here
 	wg      sync.WaitGroup
 }
 
@@ -205,6 +206,16 @@
 		f.refuseBody(c, j.body, packet.ErrOversize)
 		return
 	}
+	room := lim.Window
+	if body.Length >= 0 {
+		room = int(min(body.Length, int64(room)))
+	}
+	if !f.reserve(room) { // its body must not be read: it is refused while it is with the client
+		f.count(func(n *Counts) { n.Crowded++ })
+		f.answer(c, nil, response(http.StatusServiceUnavailable, lim.RecordBack))
+		return
+	}
+	defer f.reserve(-room)
 	j.body.start()
 	if q.Key != "" { // all tries of it must have the same body, so it is needed whole
 		whole, err := j.body.all(arrived.Add(lim.Message + lim.BodyIdle))
@@ -231,6 +242,17 @@
 	f.opts.Over(t)
 }
 
+// reserve takes room for a body's window, or gives it back, and says whether there was some.
+func (f *Front) reserve(n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n > 0 && f.windows+n > f.opts.Limits.Windows {
+		return false
+	}
+	f.windows += n
+	return true
+}
+
 // told is how long the client waits, where it says so.
 func (f *Front) told(vars packet.Vars) time.Duration {
 	if f.opts.Deadline == "" {
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -540,6 +541,128 @@
 	}
 }
 
+// TestWindows: bodies beyond what may be here of all together are refused with when to come back, before they are read, and
+// there is room again when others are over.
+func TestWindows(t *testing.T) {
+	hold := make(chan struct{})
+	s := standin.NewScripted(t, standin.Script{{Until: "0123456789"}, {Wait: hold}, {Send: fine}})
+	r := newRig(t, []string{s.Address}, func(o *Options, _ *PoolOptions) { o.Limits.Windows = 15 })
+	post := standin.Packet(t, "0123456789", at("/write", length(10))...)
+	first := r.dial(t)
+	if _, err := io.WriteString(first, post); err != nil {
+		t.Fatal(err)
+	}
+	standin.WaitFor(t, "it runs", func() bool { return s.Connections() == 1 })
+	if got, err := r.ask(t, standin.Script{{Send: post}}); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "\r\nRetry-After: 1\r\n") || err != nil {
+		t.Errorf("a second body: %q, %v", got, err)
+	}
+	if got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "", at("/none")...)}}); !strings.HasPrefix(got, "HTTP/1.1 404 ") || err != nil {
+		t.Errorf("one without a body: %q, %v", got, err)
+	}
+	close(hold)
+	if got, err := io.ReadAll(first); string(got) != fine || err != nil {
+		t.Errorf("the first: %q, %v", got, err)
+	}
+	standin.WaitFor(t, "it is over", func() bool { return r.Open() == 0 })
+	if got, err := r.ask(t, standin.Script{{Send: post}}); got != fine || err != nil {
+		t.Errorf("a third: %q, %v", got, err)
+	}
+}
+
+// TestSilentServer: one that accepts and says nothing costs a request its own time and no more, and is left out.
+func TestSilentServer(t *testing.T) {
+	s := standin.NewScripted(t, standin.Script{{Until: "never"}})
+	good := standin.NewScripted(t, reply("/write", fine))
+	r := newRig(t, []string{s.Address, good.Address}, func(o *Options, p *PoolOptions) {
+		o.Deadline, p.Rules.Fails = "HTTP_X_DEADLINE_MS", 1
+	})
+	var late int
+	for range 6 {
+		got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "", at("/write", [2]string{"HTTP_X_DEADLINE_MS", "300"})...)}})
+		if strings.HasPrefix(got, "HTTP/1.1 50") && err == nil {
+			late++
+		} else if got != fine || err != nil {
+			t.Errorf("%q, %v", got, err)
+		}
+	}
+	if late != 1 {
+		t.Errorf("%d of 6 got no answer from the servers, want the first that met the silent one", late)
+	}
+}
+
+// TestGivesUpAsTheAnswerComes: clients that leave at the instant at which their answer is ready leave nothing behind.
+func TestGivesUpAsTheAnswerComes(t *testing.T) {
+	s := standin.NewScripted(t, reply("/", fine))
+	r := newRig(t, []string{s.Address}, func(o *Options, _ *PoolOptions) { o.HalfClose = true })
+	goroutines, descriptors := runtime.NumGoroutine(), openFiles(t)
+	for i := range 300 {
+		c := r.dial(t)
+		if _, err := io.WriteString(c, standin.Packet(t, "", at("/")...)); err != nil {
+			t.Fatal(err)
+		}
+		for range i * 20 { // ever a little later, past the moment of the answer
+			runtime.Gosched()
+		}
+		c.Close()
+	}
+	standin.WaitFor(t, "all is over", func() bool {
+		_, hand, _ := r.node.Totals()
+		return r.Open() == 0 && r.node.Owed() == 0 && hand == 0 && len(s.Got()) == s.Connections()
+	})
+	standin.WaitFor(t, "nothing is left", func() bool { return runtime.NumGoroutine() <= goroutines && openFiles(t) <= descriptors })
+	if got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "", at("/")...)}}); got != fine || err != nil {
+		t.Errorf("the next one: %q, %v", got, err)
+	}
+}
+
+// openFiles is the number of open descriptors.
+func openFiles(t *testing.T) int {
+	names, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip("descriptors can't be counted here")
+	}
+	return len(names)
+}
+
+// TestLeaveWhileHundredsStream: at the end of a drain all of them are broken off, and nothing is owed or open.
+func TestLeaveWhileHundredsStream(t *testing.T) {
+	const n = 300
+	s := standin.NewScripted(t, standin.Script{{Until: "/"}, {Send: "HTTP/1.1 200 OK\r\n\r\nfirst"}, {Until: "never"}})
+	r := newRigOn(t, 2*n, []string{s.Address}, func(o *Options, p *PoolOptions) { o.Limits.UwsgiConns, p.Rules.Most = n, n })
+	goroutines := runtime.NumGoroutine()
+	conns := make([]net.Conn, n)
+	for i := range conns {
+		conns[i] = r.dial(t)
+		if got, err := (standin.Script{{Send: standin.Packet(t, "", at("/")...)}, {Until: "first"}}).Play(conns[i]); err != nil {
+			t.Fatalf("%d: %q, %v", i, got, err)
+		}
+	}
+	r.node.Leave(r.limits.KillSpare)
+	for i, c := range conns {
+		if rest, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%d ended with %q, %v", i, rest, err)
+		}
+		c.Close()
+	}
+	standin.WaitFor(t, "all is over", func() bool { return r.Open() == 0 && r.node.Owed() == 0 && r.Totals().Broken == n })
+	r.node.Sweep()
+	for id := range r.runs() { // a stop of the process would end them
+		r.pool.Stop(id)
+	}
+	standin.WaitFor(t, "no goroutine is left", func() bool { return runtime.NumGoroutine() <= goroutines })
+}
+
+// runs are the ids of what the pool runs.
+func (r *rig) runs() map[string]bool {
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	ids := map[string]bool{}
+	for id := range r.pool.runs {
+		ids[id] = true
+	}
+	return ids
+}
+
 // TestProbe: a server that was down is pinged, and gets work again once it answers.
 func TestProbe(t *testing.T) {
 	ln := standin.Listen(t)
