Send faults by seed at the uwsgi front, and have the toy and the suite use the client

Need: servers failed in tests only in ways written out one by one; the client library was used by its own tests alone; a wrong path made two hundred cases fail.

Change: servers whose faults are drawn by seed (break off, reset, garbage, trickle, endless and early answers, reads that stop); a reader that takes nothing; the toy asks by client/uwsgi, and the suite asks the application once before its cases.

--- a/cmd/sloehitch-lab/main.go
+++ b/cmd/sloehitch-lab/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -61,7 +62,11 @@
 			return 0, fmt.Errorf("--run: %w", err)
 		}
 	}
-	results := conformance.Run(conformance.Target{Address: e, Path: c.Path, Echo: c.Echo, Patience: c.Timeout}, run, c.AtOnce)
+	target := conformance.Target{Address: e, Path: c.Path, Echo: c.Echo, Patience: c.Timeout}
+	if err := target.Reach(context.Background()); err != nil {
+		return 0, err
+	}
+	results := conformance.Run(target, run, c.AtOnce)
 	if len(results) == 0 {
 		return 0, fmt.Errorf("no case matches %q", c.Only)
 	}
--- a/example/toy/main.go
+++ b/example/toy/main.go
@@ -2,16 +2,19 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"sloehitch/client/uwsgi"
 	"sloehitch/internal/uwsgi/packet"
 )
 
@@ -98,31 +101,27 @@
 }
 
 type askCmd struct {
-	Method string `arg:""`
-	Path   string `arg:""`
-	Key    string `help:"Idempotency-Key of a booking."`
-	Body   string `help:"Body of the request."`
-	To     string `default:"127.0.0.1:3030" help:"Address to ask."`
+	Method string        `arg:""`
+	Path   string        `arg:""`
+	Key    string        `help:"Idempotency-Key of a booking."`
+	Body   string        `help:"Body of the request."`
+	To     string        `default:"127.0.0.1:3030" help:"Address to ask."`
+	Wait   time.Duration `default:"10s" help:"How long to wait; the daemon is told."`
+	Tries  int           `default:"1" help:"Of a booking, when it is refused."`
 }
 
 func (c *askCmd) Run() error {
-	vars := [][2]string{{"REQUEST_METHOD", c.Method}, {"PATH_INFO", c.Path}, {"CONTENT_LENGTH", fmt.Sprint(len(c.Body))}}
-	if c.Key != "" {
-		vars = append(vars, [2]string{"HTTP_IDEMPOTENCY_KEY", c.Key})
-	}
-	request, err := packet.Append(nil, 0, 0, vars)
-	if err != nil {
-		return err
-	}
-	conn, err := net.Dial("tcp", c.To)
+	ctx, cancel := context.WithTimeout(context.Background(), c.Wait)
+	defer cancel()
+	client := &uwsgi.Client{Address: c.To, Deadline: "HTTP_X_DEADLINE_MS", Tries: c.Tries}
+	body, length := uwsgi.Text(c.Body)
+	resp, err := client.Do(ctx, &uwsgi.Request{Method: c.Method, Path: c.Path, Key: c.Key, Body: body, Length: length})
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	if _, err := conn.Write(append(request, c.Body...)); err != nil {
-		return err
-	}
-	_, err = io.Copy(os.Stdout, conn)
+	defer resp.Body.Close()
+	fmt.Printf("%d %s (tries: %d)\n", resp.Status, http.StatusText(resp.Status), resp.Tries)
+	_, err = io.Copy(os.Stdout, resp.Body)
 	return err
 }
 
--- a/internal/conformance/conformance.go
+++ b/internal/conformance/conformance.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"syscall"
 	"time"
 
+	client "sloehitch/client/uwsgi"
 	"sloehitch/internal/endpoint"
 	"sloehitch/internal/script"
 	"sloehitch/internal/uwsgi/packet"
@@ -58,6 +60,24 @@
 	Took   time.Duration `json:"took_ns"`
 }
 
+// Reach asks the application once as an ordinary client does, so that what is wrong with the address or the path is told as that, and not
+// as two hundred failed cases.
+func (t Target) Reach(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, t.Patience)
+	defer cancel()
+	c := client.Client{Address: t.Address.String(), Tries: 1}
+	resp, err := c.Do(ctx, &client.Request{Path: t.Path, Host: "localhost"})
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.Status >= 400 {
+		return fmt.Errorf("the application at %s answers %d to GET; name one that answers 200 by --path", t.Path, resp.Status)
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, 4<<20))
+	return err
+}
+
 // Run plays the cases whose names match, some at once, and returns the results in the cases' order.
 func Run(t Target, run *regexp.Regexp, atOnce int) []Result {
 	var list []Case
--- a/internal/conformance/conformance_test.go
+++ b/internal/conformance/conformance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"encoding/xml"
 	"regexp"
@@ -49,6 +50,19 @@
 	}
 }
 
+// TestReach: what is wrong before any case is told as that.
+func TestReach(t *testing.T) {
+	for _, mutant := range []string{"", "garbage for a head", "closes early"} {
+		e, err := endpoint.Parse(standin.NewEcho(t, mutant).Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (conformance.Target{Address: e, Path: "/", Patience: standin.Patience}).Reach(context.Background()); (err == nil) != (mutant == "") {
+			t.Errorf("%q: %v", mutant, err)
+		}
+	}
+}
+
 // TestMutants: a speaker that is wrong in one way fails the case that is there for it, which the right one passes.
 func TestMutants(t *testing.T) {
 	caught := map[string]string{
--- a/internal/standin/uwsgi.go
+++ b/internal/standin/uwsgi.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -67,6 +68,36 @@
 	return append([]string(nil), s.got...)
 }
 
+// Faulty is a server's script by seed: it reads up to end, or less, and answers well or in one of the ways that servers fail.
+func Faulty(seed uint64, end, response string) Script {
+	rng := rand.New(rand.NewPCG(seed, 6))
+	cut := rng.IntN(len(response))
+	pause := Step{Pause: time.Duration(rng.IntN(4)) * time.Millisecond}
+	first := Step{Until: end}
+	if rng.IntN(4) == 0 {
+		first = Step{Read: 1 + rng.IntN(40)} // it doesn't read on
+	}
+	switch rng.IntN(9) {
+	case 0:
+		return Script{first, pause, {Send: response[:cut]}} // breaks off
+	case 1:
+		return Script{first, {Send: response[:cut]}, {Reset: true}}
+	case 2:
+		return Script{first, {Reset: true}}
+	case 3:
+		return Script{first, {Send: "\x00garbage\r\n\r\n"}}
+	case 4:
+		return Script{first, pause, {Send: response, Split: true}}
+	case 5:
+		return Script{first, {Send: response[:cut]}, pause, {Send: response[cut:]}}
+	case 6:
+		return Script{first, {Send: response}, {Flood: 64 << 10}} // an endless answer
+	case 7:
+		return Script{{Send: response}, pause} // an early answer
+	}
+	return Script{first, pause, {Send: response}, {Half: true}, {Until: "never"}}
+}
+
 // Packet is a uwsgi request's bytes.
 func Packet(t testing.TB, body string, vars ...[2]string) string {
 	t.Helper()
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -663,6 +663,54 @@
 	return ids
 }
 
+// TestSeededFaults: whatever servers do, by seed, each client gets at most one answer, a good one whole; nothing that must not run twice gets to two
+// servers; and nothing is left.
+func TestSeededFaults(t *testing.T) {
+	const seeds = 200
+	served := 0
+	for seed := range uint64(seeds) {
+		path, key := []string{"/", "/book", "/write"}[seed%3], [2]string{"HTTP_IDEMPOTENCY_KEY", "k"}
+		response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 50000, strings.Repeat("r", 50000))
+		if seed%2 == 0 {
+			response = fine
+		}
+		a := standin.NewScripted(t, standin.Faulty(seed, "hello", response))
+		b := standin.NewScripted(t, standin.Faulty(seed+1000, "hello", response))
+		r := newRig(t, []string{a.Address, b.Address}, nil)
+		got, err := r.ask(t, standin.Script{{Send: standin.Packet(t, "hello", at(path, length(5), key)...), Split: seed%5 == 0}})
+		switch whole := got == response && err == nil; {
+		case whole:
+			served++
+		case strings.HasPrefix(got, "HTTP/1.1 50") && err == nil:
+		case strings.HasPrefix(response, got) && errors.Is(err, syscall.ECONNRESET):
+		default:
+			t.Errorf("seed %d: %d bytes, %v: %.80q", seed, len(got), err, got)
+		}
+		standin.WaitFor(t, "all is over", func() bool { return r.Open() == 0 && r.node.Owed() == 0 })
+		if n := a.Connections() + b.Connections(); path != "/" && n > 1 {
+			t.Errorf("seed %d: what must not run twice went to %d servers", seed, n)
+		}
+		r.pool.Close()
+	}
+	if served == 0 || served == seeds {
+		t.Errorf("%d of %d were served", served, seeds)
+	}
+}
+
+// TestSlowReader: a client that takes nothing of a large response loses it in time, and its server is let go.
+func TestSlowReader(t *testing.T) {
+	s := standin.NewScripted(t, standin.Script{{Until: "/"}, {Send: "HTTP/1.1 200 OK\r\n\r\n"}, {Flood: 64 << 20}})
+	r := newRig(t, []string{s.Address}, func(o *Options, _ *PoolOptions) { o.Limits.Write = 50 * time.Millisecond })
+	c := r.dial(t)
+	if _, err := io.WriteString(c, standin.Packet(t, "", at("/")...)); err != nil {
+		t.Fatal(err)
+	}
+	standin.WaitFor(t, "it is broken off", func() bool { return r.Totals().Broken == 1 && r.Open() == 0 && len(s.Got()) == 1 })
+	if e := r.pool.Servers()[0]; e.Fails != 0 || e.Open != 0 {
+		t.Errorf("held against the server: %+v", e)
+	}
+}
+
 // TestProbe: a server that was down is pinged, and gets work again once it answers.
 func TestProbe(t *testing.T) {
 	ln := standin.Listen(t)
