Answer repeats of keyed requests from the record after a restart

Need: the record said after a restart that a booking had run, and not what came of it: its repeats failed, and the caller had to find out by hand.

Change: the result, up to limits.KeptResult, goes on record with the end of its run, with the name of the front that made it; at a start results are read into memory as far as there is room for them, and repeats by the same front get them at once.

--- a/internal/bookings/bookings.go
+++ b/internal/bookings/bookings.go
@@ -116,7 +116,7 @@
 // put is a booking's record, ready to be written.
 func (r *Record) put(b node.Booking, stage bookingpb.Booking_Stage) (*ledger.Batch, error) {
 	value, err := proto.Marshal(&bookingpb.Booking{Stage: stage, Class: b.Class, Digest: b.Digest[:], ArrivedUs: b.Arrived.UnixMicro(),
-		Request: []byte(b.Request), WindowUs: b.Window.Microseconds(), Served: b.Served})
+		Request: []byte(b.Request), WindowUs: b.Window.Microseconds(), Served: b.Served, Kept: b.Kept, Result: b.Result, Front: b.Front})
 	if err != nil {
 		return nil, fmt.Errorf("booking %q: %w", b.Key, err)
 	}
@@ -136,7 +136,7 @@
 		}
 		b := node.Booking{Key: key, Class: v.Class, Arrived: time.UnixMicro(v.ArrivedUs), Request: string(v.Request),
 			Window: time.Duration(v.WindowUs) * time.Microsecond,
-			Ended:  v.Stage == bookingpb.Booking_STAGE_ENDED, Served: v.Served}
+			Ended:  v.Stage == bookingpb.Booking_STAGE_ENDED, Served: v.Served, Kept: v.Kept, Result: v.Result, Front: v.Front}
 		if copy(b.Digest[:], v.Digest) != len(b.Digest) || v.Stage == bookingpb.Booking_STAGE_UNSPECIFIED {
 			return fmt.Errorf("booking %q: the record lacks its stage or digest", key)
 		}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -17,6 +17,9 @@
 	Request string // the id of that try
 	Ended   bool   // its run is over
 	Served  bool   // and went well
+	Kept    bool   // and this is its result, as the front of that name gave it
+	Result  []byte
+	Front   string
 }
 
 // Journal keeps bookings beyond the life of the process. Its methods must not block.
@@ -33,7 +36,16 @@
 // booking is what the journal is to keep of a request.
 func (n *Node) booking(r *request) Booking {
 	return Booking{Key: r.Key, Class: n.opts.Settings.Classes[r.Class].Name, Digest: r.digest, Arrived: r.Arrived,
-		Window: n.keys.window(r.Class), Request: r.ID}
+		Window: n.keys.window(r.Class), Request: r.ID, Front: r.Front}
+}
+
+// answerRestored answers a repeat of what ran in an earlier process. There is nothing to wait for, so the module is not asked.
+func (n *Node) answerRestored(r *request, e *entry) {
+	if e.served && e.owner.Front == r.Front {
+		n.settle(r, Answer{Kind: Served, Result: e.result})
+		return
+	}
+	n.settle(r, Answer{Kind: Failed})
 }
 
 // Restore fills the table of keys with what the journal has of an earlier process. It is to be called before the first Submit.
@@ -48,8 +60,11 @@
 		}
 	}
 	// The owner is of no use but for its key: nothing of it is in hand, and no runner will hear of it.
-	n.keys.entries[b.Key] = &entry{owner: &request{Request: Request{ID: b.Request, Key: b.Key, Class: class, Arrived: b.Arrived}},
+	e := &entry{owner: &request{Request: Request{ID: b.Request, Key: b.Key, Class: class, Arrived: b.Arrived, Front: b.Front}},
 		digest: b.Digest, ran: true, over: true, restored: true, from: b.Arrived, window: b.Window}
+	// Without room for its result repeats fail, as those of an unknown end do.
+	e.served = b.Served && b.Kept && n.keys.keep(e, b.Result, n.opts.Limits.KeptResult)
+	n.keys.entries[b.Key] = e
 	n.counts.Restored++
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	Body    []byte
 	Content []byte // what all tries of one keyed request have in common besides the key
 	Runner  Runner
+	Front   string // the protocol that it came by: another one's results can't be read there
 }
 
 // Kind is how a request was answered.
@@ -218,8 +219,7 @@
 			n.settle(r, Answer{Kind: Failed, Taken: true})
 			return
 		} else if e != nil && e.restored {
-			// It ran before a restart, and its result is not known here: nothing to wait for.
-			n.settle(r, Answer{Kind: Failed})
+			n.answerRestored(r, e)
 			return
 		}
 	}
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -130,7 +130,7 @@
 func (n *Node) finishJoin(r *request, e *entry) {
 	r.stage = ended
 	took := n.opts.Clock.Now().Sub(r.entered)
-	if e.served && e.owner.Runner == r.Runner { // another protocol's result would not be understood
+	if e.served && e.owner.Front == r.Front { // another protocol's result would not be understood
 		n.settle(r, Answer{Kind: Served, Result: e.result})
 		n.opts.Gate.Report(gate.Ended(r.num, logic.OK, took))
 	} else {
@@ -166,11 +166,6 @@
 				n.opts.Journal.Withdraw(n.booking(r))
 			}
 		} else {
-			if n.opts.Journal != nil {
-				b := n.booking(r)
-				b.Ended, b.Served = true, o == logic.OK
-				n.opts.Journal.Ended(b)
-			}
 			e.over, e.served = true, o == logic.OK
 			e.result = result
 			waiting := e.waiting
@@ -181,6 +176,14 @@
 			e.result = nil
 			// Without its result later repeats fail: it must not run again.
 			e.served = e.served && n.keys.keep(e, result, n.opts.Limits.KeptResult)
+			if n.opts.Journal != nil {
+				b := n.booking(r)
+				b.Ended, b.Served = true, o == logic.OK
+				if b.Kept = b.Served && len(result) <= n.opts.Limits.KeptResult; b.Kept {
+					b.Result = result
+				}
+				n.opts.Journal.Ended(b)
+			}
 		}
 	}
 	n.drop(r)
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -313,7 +313,7 @@
 		return node.Request{}, fmt.Errorf("a time stamp %v from now", ahead)
 	}
 	return node.Request{ID: d.req, Class: class, Tenant: tenant, KB: d.need, Hint: d.work, Rank: d.level, Retry: d.resent,
-		Source: d.via, Arrived: d.arrived, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner}, nil
+		Source: d.via, Arrived: d.arrived, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner, Front: "resp"}, nil
 }
 
 // state is what the connection is doing; the caller holds mu.
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -186,7 +186,7 @@
 		return
 	}
 	f.count(func(n *Counts) { n.Read++ })
-	q := node.Request{Runner: f.opts.Pool, Arrived: arrived, Source: source(host), Tenant: -1, Wait: f.told(vars)}
+	q := node.Request{Front: "uwsgi", Runner: f.opts.Pool, Arrived: arrived, Source: source(host), Tenant: -1, Wait: f.told(vars)}
 	if status := f.opts.Mapper.Map(vars.Get, &q); status != 0 {
 		f.answer(c, nil, response(status, 0))
 		return
