Hold a server to account that says nothing until its request is given up

Seen: the test of a silent server failed under load: where the core stopped the run a moment before the pool's own deadline, the try counted as withdrawn, so the silent server was never left out.

Change: a try that is stopped without a word from the server while the client still waits counts as slow.

--- a/internal/uwsgi/job.go
+++ b/internal/uwsgi/job.go
@@ -201,6 +201,12 @@
 	return f.err
 }
 
+// left says whether the client has gone or sent what is bad; that the front has stopped reading is neither.
+func (f *inflow) left() bool {
+	err := f.why()
+	return err != nil && !errors.Is(err, net.ErrClosed)
+}
+
 // all waits for the whole body and returns it; for requests whose digest is needed before they may run.
 func (f *inflow) all(until time.Time) ([]byte, error) {
 	wake := time.AfterFunc(time.Until(until), func() { f.fail(os.ErrDeadlineExceeded) })
--- a/internal/uwsgi/try.go
+++ b/internal/uwsgi/try.go
@@ -74,9 +74,9 @@
 		t.result = choice.OK
 	case errors.As(sendErr, &client):
 		t.result, err = choice.Withdrawn, sendErr
-	case errors.Is(err, errClient), errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(err, errClient), errors.Is(ctx.Err(), context.Canceled) && (t.took > 0 || t.run.job.body.left()):
 		t.result = choice.Withdrawn
-	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
+	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded): // also stopped as its client's time was over, without a word from the server
 		t.result = choice.Slow
 	default:
 		t.result = choice.Broken
