Take clients from the inherited descriptor, and answer operators' calls on the ops address

Design: internal/ops reads one line a connection and answers ACK or NAK (readyz, telemetry, evacuate, activate); each connection is served by itself with a deadline of its own, and beyond 32 at once a caller hears NAK busy at once, so silent or half callers hold up nobody. The listener is taken with net.FileListener from GW_ACCEPT_FD when set, a socket of its own otherwise. evacuate turns health checks RED (a flag beside the store's closed word); nothing else changes, so what still arrives is served as usual.

--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -13,6 +13,8 @@
 	"os/signal"
 	"runtime/debug"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,6 +30,7 @@
 	"sloehitch/internal/limits"
 	"sloehitch/internal/metrics"
 	"sloehitch/internal/node"
+	"sloehitch/internal/ops"
 	"sloehitch/internal/resp"
 	"sloehitch/internal/runtime"
 	"sloehitch/internal/store"
@@ -87,6 +90,10 @@
 	servers   *uwsgi.Pool                     // nil where uwsgi is off
 	keys      []*tlskeys.Keys                 // of the uwsgi side
 	closed    atomic.Bool                     // out of service by the operators' word
+	evacuated atomic.Bool                     // emptied by the operators' call evacuate, until activate
+	ready     atomic.Bool                     // clients are taken
+	applied   atomic.Int64                    // configuration files taken over at SIGHUP
+	rejected  atomic.Int64                    // and turned down
 	leaving   atomic.Bool                     // the notice to leave has come
 	failed    chan error
 
@@ -99,11 +106,11 @@
 // standing is what callers are told of the node: the module's word, and the operators'.
 type standing struct {
 	*gate.Gate
-	closed *atomic.Bool
+	closed, evacuated *atomic.Bool
 }
 
 // Well is what health checks are to hear.
-func (s standing) Well() bool { return !s.closed.Load() && s.Gate.Well() }
+func (s standing) Well() bool { return !s.closed.Load() && !s.evacuated.Load() && s.Gate.Well() }
 
 // start wires the parts and sets them going.
 func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
@@ -135,10 +142,10 @@
 	if err := d.restore(); err != nil { // before the first request is taken
 		return nil, err
 	}
-	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed}, Runner: d.link, Classes: p.Names.Classes,
+	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed, &d.evacuated}, Runner: d.link, Classes: p.Names.Classes,
 		Tenants: p.Names.Tenants, Limits: lim, Log: log})
 	if d.link != nil { // without a runtime nothing could run what balancers send
-		ln, err := d.listen(p.Listen)
+		ln, err := d.clients(p.Listen)
 		if err != nil {
 			return nil, err
 		}
@@ -154,8 +161,12 @@
 	if err := d.startMetrics(); err != nil {
 		return nil, err
 	}
+	if err := d.startOps(); err != nil {
+		return nil, err
+	}
 	go d.node.Serve()
 	go d.pulse.Serve(nil)
+	d.ready.Store(true)
 	log.Info("serving", "listen", p.Listen, "uwsgi", l.deploy.Uwsgi.Listen, "runtime", p.Runtime,
 		"catalogue", p.Catalog, "version", version)
 	return d, nil
@@ -204,6 +215,59 @@
 	return d.ledger.Close()
 }
 
+// clients is the listener for balancers: the one that the platform holds and hands down as the descriptor named in
+// $GW_ACCEPT_FD, so that an old and a new process take from the same queue while one replaces the other; without
+// it, a socket of its own on address.
+func (d *daemon) clients(address string) (net.Listener, error) {
+	text := os.Getenv("GW_ACCEPT_FD")
+	if text == "" {
+		return d.listen(address)
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("GW_ACCEPT_FD: %q is not a descriptor above 2", text)
+	}
+	f := os.NewFile(uintptr(fd), "clients")
+	ln, err := net.FileListener(f) // a copy of the descriptor: closing it leaves the platform's own open
+	f.Close()
+	if err != nil {
+		return nil, fmt.Errorf("GW_ACCEPT_FD %d: %w", fd, err)
+	}
+	d.listeners = append(d.listeners, ln)
+	d.log.Info("clients taken from the inherited listener", "descriptor", fd, "address", ln.Addr().String())
+	return ln, nil
+}
+
+// startOps answers the operators' calls where the configuration names an address for them.
+func (d *daemon) startOps() error {
+	if d.platform.Ops == "" {
+		return nil
+	}
+	ln, err := d.listen(d.platform.Ops)
+	if err != nil {
+		return fmt.Errorf("ops: %w", err)
+	}
+	server := ops.New(operator{d}, d.limits, d.log)
+	go func() { d.failed <- server.Serve(ln) }()
+	return nil
+}
+
+// operator is what the operators' calls do to the daemon.
+type operator struct{ d *daemon }
+
+func (o operator) Ready() bool { return o.d.ready.Load() && !o.d.leaving.Load() }
+func (o operator) Evacuate()   { o.d.evacuated.Store(true) }
+func (o operator) Activate()   { o.d.evacuated.Store(false) }
+
+func (o operator) Figures() ops.Figures {
+	f := ops.Figures{Active: o.d.node.Owed(), Applied: int(o.d.applied.Load()), Rejected: int(o.d.rejected.Load())}
+	for name, c := range o.d.node.Classes() {
+		f.Classes = append(f.Classes, ops.Class{Name: name, OK: c.Served, Shed: c.Refused, Errors: c.Failed, Tries: c.Ran})
+	}
+	slices.SortFunc(f.Classes, func(a, b ops.Class) int { return strings.Compare(a.Name, b.Name) })
+	return f
+}
+
 func (d *daemon) listen(address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err == nil {
@@ -446,9 +510,11 @@
 func (d *daemon) reload() {
 	l, err := d.load()
 	if err != nil {
+		d.rejected.Add(1)
 		d.log.Error("the configuration stays as it was", "error", err)
 		return
 	}
+	defer d.applied.Add(1)
 	p, old := l.platform, d.platform
 	if p.Name != old.Name || p.Listen != old.Listen || p.Caps != old.Caps || !bytes.Equal(p.Raw, old.Raw) ||
 		l.deploy.Uwsgi.Listen != d.deploy.Load().Uwsgi.Listen || (p.Runtime == "") != (old.Runtime == "") || (p.Catalog == "") != (old.Catalog == "") {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 type Platform struct {
 	Name    string          `json:"name"`
 	Listen  string          `json:"listen"`
+	Ops     string          `json:"ops"` // the operators' calls; empty: none. $GW_OPS takes its place where set
 	Runtime string          `json:"runtime"`
 	Lookup  string          `json:"lookup"`
 	Catalog string          `json:"catalog"` // empty in the last tier
@@ -55,6 +56,9 @@
 	if err := json.Unmarshal(text, p); err != nil {
 		return nil, err
 	}
+	if ops := os.Getenv("GW_OPS"); ops != "" {
+		p.Ops = ops
+	}
 	var object map[string]any
 	if err := json.Unmarshal(p.Raw, &object); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -76,7 +80,7 @@
 	for _, a := range []struct {
 		field, address string
 		needed         bool
-	}{{"listen", p.Listen, true}, {"runtime", p.Runtime, false}, {"lookup", p.Lookup, false}, {"catalog", p.Catalog, false}} {
+	}{{"listen", p.Listen, true}, {"runtime", p.Runtime, false}, {"lookup", p.Lookup, false}, {"catalog", p.Catalog, false}, {"ops", p.Ops, false}} {
 		if a.address == "" && !a.needed {
 			continue
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -67,6 +67,9 @@
 	Orphan                time.Duration // after its due time when a run that never reported is written off
 	Totals                time.Duration // between log lines with the counts
 	LogEvery              time.Duration // between log lines on one kind of trouble
+	OpsCall               time.Duration // for an operator's call to arrive whole on its connection
+	OpsSeats              int           // operators' connections at once; more are told NAK at once
+	OpsLine               int           // bytes of an operator's call, its newline included
 }
 
 // Ledger bounds one store on disk.
@@ -124,6 +127,7 @@
 		Pulse: 250 * time.Millisecond, Gauges: 700 * time.Millisecond, Closing: 2 * time.Second,
 		RecordWait: time.Second, RecordBack: time.Second,
 		KeySlack: 200 * time.Millisecond, DueShare: 0.5, GraceSpare: 50 * time.Millisecond, KillSpare: 150 * time.Millisecond,
+		OpsCall: 5 * time.Second, OpsSeats: 32, OpsLine: 256,
 		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,12 +145,44 @@
 	kill    time.Time
 	open    int // requests that are owed an answer
 	counts  Counts
+	classes map[string]*ClassCounts // by the name of the class
+}
+
+// ClassCounts are what one class of requests came to since the start: the figures that operators read.
+type ClassCounts struct {
+	Served, Refused, Failed int // final answers of each kind
+	Ran                     int // runs handed to the runner
+}
+
+// class is the counts of r's class, made where there are none yet.
+func (n *Node) class(r *request) *ClassCounts {
+	name := n.opts.Settings.Classes[r.Class].Name
+	c := n.classes[name]
+	if c == nil {
+		c = &ClassCounts{}
+		n.classes[name] = c
+	}
+	return c
+}
+
+// Classes returns the counts of each class named in the settings, and of any other that has counts, by name.
+func (n *Node) Classes() map[string]ClassCounts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]ClassCounts, len(n.classes))
+	for _, c := range n.opts.Settings.Classes {
+		out[c.Name] = ClassCounts{}
+	}
+	for name, c := range n.classes {
+		out[name] = *c
+	}
+	return out
 }
 
 // New returns a node; Serve makes it work.
 func New(o Options) *Node {
 	window := func(class int) time.Duration { return span(o.Settings.Classes[class].Window) }
-	return &Node{opts: o, byID: map[string]*request{}, byNum: map[uint64]*request{},
+	return &Node{opts: o, classes: map[string]*ClassCounts{}, byID: map[string]*request{}, byNum: map[uint64]*request{},
 		log:  lograte.New(o.Log, o.Limits.LogEvery),
 		keys: newKeyTable(o.Limits.Keys, o.Limits.KeptResults, o.Limits.KeySlack, window)}
 }
@@ -315,10 +347,13 @@
 	switch a.Kind {
 	case Served:
 		n.counts.Served++
+		n.class(r).Served++
 	case Refused:
 		n.counts.Refused++
+		n.class(r).Refused++
 	case Failed:
 		n.counts.Failed++
+		n.class(r).Failed++
 		a.Late = n.opts.Clock.Now().After(r.due.Add(-n.grace()))
 	}
 	r.reply(a)
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -102,6 +102,7 @@
 	}
 	r.stage = runs
 	n.counts.Ran++
+	n.class(r).Ran++
 	class := &n.opts.Settings.Classes[r.Class]
 	r.Runner.Start(r.ID, class.Name, r.Body)
 	if r.paused { // while its start was being recorded
