--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -56,7 +56,7 @@
 }
 func (n *node) Evacuate() { n.mu.Lock(); n.evacuated = true; n.mu.Unlock() }
 func (n *node) Activate() { n.mu.Lock(); n.evacuated = false; n.mu.Unlock() }
-func (n *node) out() bool  { n.mu.Lock(); defer n.mu.Unlock(); return n.evacuated }
+func (n *node) out() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.evacuated }
 
 func serve(t *testing.T, lim limits.Limits) (*node, string) {
 	t.Helper()
