Retune classes at SIGHUP, and count the files taken and turned down

Design: internal/retune, without I/O. Check turns a file down whole when empty or lacking a key that the running file has (a key every class has is wanted of every class); a file cut short or a deadline not above 0 is turned down as it is read. Lay keeps classes in their places by name: common ones take the new figures, added ones come after, dropped ones stay until a restart so requests in hand keep their class. Not taken: a new module for the new settings, which would forget T_m, the limit and all requests in hand. A request of a class not in the settings is refused and counted as shed under its name, and no longer costs its connection.

Tests: logic Retune, table of files for Check, Lay, and a real-socket test: a held request of a dropped class answered, a new class run, three bad files counted and the settings in force kept.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -558,3 +558,72 @@
 	}
 	return fmt.Sprintf("k%d-%d", i/4, i%2)
 }
+
+// TestRetune: at SIGHUP classes are added and dropped while a request of a dropped class is in hand; it keeps its
+// class and runs. A file that lacks a key or has a deadline below 0 is turned down whole, counted, and the settings
+// in force stay. A class that the settings do not name costs its request, never the connection.
+func TestRetune(t *testing.T) {
+	hold := make(chan struct{})
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) {
+		if string(j.Body) == "held" {
+			<-hold
+		}
+		return "OK", "r"
+	})
+	s := serveNode(t, ample, rt)
+	<-rt.Syncs
+	b := standin.Dial(t, s.address)
+	defer b.Close()
+	for i := range 6 { // more than a connection may carry of bad messages
+		b.Do(i+1, "fresh", req(i+1), time.Now(), "x", "")
+		if got := b.Read(); len(got) < 2 || got[1] == "ACK" {
+			t.Fatalf("a class not in the settings: %q", got)
+		}
+	}
+	b.Do(10, "book", req(10), time.Now(), "held", ",opkey=k1")
+	base := standin.Config(s.address, rt.Address, "", ample)
+	from := strings.Index(base, `"classes":[`)
+	to := strings.LastIndex(base[:strings.Index(base, `"counted-by"`)], "]")
+	classes := func(list string) string { return base[:from] + `"classes":[` + list + base[to:] }
+	const fresh, book = `{"name":"fresh","objective":400000,"hard-limit":600000,"credit":1,"semantics":"retryable","window":5000000}`,
+		`{"name":"book","objective":400000,"hard-limit":60000000,"credit":3,"semantics":"dedup","window":90000000}`
+	files := map[string]string{
+		"dropped slot-search, added fresh": classes(fresh + "," + book),
+		"no deadline":                      classes(strings.Replace(fresh, `"hard-limit":600000,`, ``, 1) + "," + book),
+		"a deadline below 0":               classes(strings.Replace(fresh, `"hard-limit":600000`, `"hard-limit":-5`, 1) + "," + book),
+		"cut short":                        classes(fresh + "," + book)[:len(base)/2],
+	}
+	for _, name := range []string{"dropped slot-search, added fresh", "no deadline", "a deadline below 0", "cut short"} {
+		text := files[name]
+		s.load = func() (*loaded, error) {
+			p, err := config.Parse([]byte(text))
+			if err != nil {
+				return nil, err
+			}
+			return &loaded{platform: p, deploy: &config.Deploy{}}, nil
+		}
+		s.reload()
+	}
+	b.Do(11, "fresh", req(11), time.Now(), "y", "")
+	b.Do(12, "slot-search", req(12), time.Now(), "z", "") // dropped: still taken from balancers that learn late
+	close(hold)
+	for range 3 {
+		if got := b.Read(); len(got) < 2 || got[1] != "ACK" {
+			t.Errorf("after the retuning: %q", got)
+		}
+	}
+	f := operator{s.daemon}.Figures()
+	if f.Applied != 1 || f.Rejected != 3 {
+		t.Errorf("files taken %d, turned down %d; want 1 and 3", f.Applied, f.Rejected)
+	}
+	want := map[string][2]int{"fresh": {1, 6}, "book": {1, 0}, "slot-search": {1, 0}} // ok, shed
+	for _, c := range f.Classes {
+		if w, ok := want[c.Name]; ok && (c.OK != w[0] || c.Tries != w[0]) {
+			t.Errorf("class %s: %+v, want %d served and run", c.Name, c, w[0])
+		}
+		delete(want, c.Name)
+	}
+	if len(want) > 0 {
+		t.Errorf("figures lack the classes %v", want)
+	}
+}
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -32,7 +33,9 @@
 	"sloehitch/internal/node"
 	"sloehitch/internal/ops"
 	"sloehitch/internal/resp"
+	"sloehitch/internal/retune"
 	"sloehitch/internal/runtime"
+	"sloehitch/internal/settings"
 	"sloehitch/internal/store"
 	"sloehitch/internal/tlskeys"
 	"sloehitch/internal/traces"
@@ -143,7 +146,7 @@
 		return nil, err
 	}
 	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed, &d.evacuated}, Runner: d.link, Classes: p.Names.Classes,
-		Tenants: p.Names.Tenants, Limits: lim, Log: log})
+		Tenants: p.Names.Tenants, Unknown: d.node.Unknown, Limits: lim, Log: log})
 	if d.link != nil { // without a runtime nothing could run what balancers send
 		ln, err := d.clients(p.Listen)
 		if err != nil {
@@ -509,6 +512,9 @@
 // while serving is logged; a bad file leaves all as it is.
 func (d *daemon) reload() {
 	l, err := d.load()
+	if err == nil {
+		err = d.retune(l.platform)
+	}
 	if err != nil {
 		d.rejected.Add(1)
 		d.log.Error("the configuration stays as it was", "error", err)
@@ -516,7 +522,7 @@
 	}
 	defer d.applied.Add(1)
 	p, old := l.platform, d.platform
-	if p.Name != old.Name || p.Listen != old.Listen || p.Caps != old.Caps || !bytes.Equal(p.Raw, old.Raw) ||
+	if p.Name != old.Name || p.Listen != old.Listen || p.Ops != old.Ops || p.Caps != old.Caps ||
 		l.deploy.Uwsgi.Listen != d.deploy.Load().Uwsgi.Listen || (p.Runtime == "") != (old.Runtime == "") || (p.Catalog == "") != (old.Catalog == "") {
 		d.log.Warn("name, addresses to listen on, limits, settings and which links there are take a restart")
 	}
@@ -544,6 +550,49 @@
 	d.log.Info("configuration taken over", "runtime", p.Runtime, "catalogue", p.Catalog, "directory", p.Lookup)
 }
 
+// retune has the core, its module and the fronts take the settings of p where they differ from the running ones,
+// and writes into p what they come to (package retune). It errs, and changes nothing, where the file is to be
+// turned down whole.
+func (d *daemon) retune(p *config.Platform) error {
+	old := d.platform
+	if bytes.Equal(p.Raw, old.Raw) {
+		p.Logic, p.Names = old.Logic, old.Names
+		return nil
+	}
+	running, next, err := flat(old.Raw), flat(p.Raw), error(nil)
+	if err = retune.Check(p.Raw, running, next); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	plan, err := retune.Lay(old.Logic, p.Logic)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if len(plan.Settings.Classes) > retune.MostClasses {
+		return fmt.Errorf("settings: %d classes with those kept for requests in hand, %d at most until a restart", len(plan.Settings.Classes), retune.MostClasses)
+	}
+	if err := d.node.Retune(plan.Settings); err != nil {
+		return err
+	}
+	d.front.Retune(plan.Names)
+	if plan.Tenants {
+		d.log.Warn("the tenants stay as they were: they take a restart")
+	}
+	names := *old.Names
+	names.Classes = plan.Names
+	p.Logic, p.Names = plan.Settings, &names
+	d.log.Info("settings retuned", "added", plan.Added, "dropped", plan.Dropped, "classes", len(plan.Settings.Classes))
+	return nil
+}
+
+// flat is the settings object by path; nil where it is no object, which the file's reading has ruled out.
+func flat(raw json.RawMessage) map[string]string {
+	var object map[string]any
+	if json.Unmarshal(raw, &object) != nil {
+		return nil
+	}
+	return settings.Flatten(object)
+}
+
 func (d *daemon) logTotals() {
 	counts, hand, keys := d.node.Totals()
 	args := []any{"core", counts, "in_hand", hand, "keys", keys, "connections", d.open()}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -98,6 +98,7 @@
 	out    []Decision
 	ready  *sync.Cond // out has something, or the gate is closed
 	closed bool
+	retune *logic.Settings // to be taken before the next events
 
 	wake    chan struct{}
 	gauges  chan Gauges
@@ -139,6 +140,18 @@
 	}
 }
 
+// Retune has the module take new settings before any news reported after this call; cfg must have passed
+// logic.New's checks and keep the classes and tenants in their places (logic.Server.Retune). It never blocks.
+func (g *Gate) Retune(cfg logic.Settings) {
+	g.mu.Lock()
+	g.retune = &cfg
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Tick hands over the gauges that Ask requested. Gauges that nothing waits for are dropped.
 func (g *Gate) Tick(m Gauges) {
 	select {
@@ -215,12 +228,17 @@
 // step takes in what has come and hands out what the module decides on it.
 func (g *Gate) step(due bool, timer *time.Timer) {
 	g.mu.Lock()
-	events, closed := g.in, g.closed
-	g.in = nil
+	events, closed, retune := g.in, g.closed, g.retune
+	g.in, g.retune = nil, nil
 	g.mu.Unlock()
 	if closed {
 		return
 	}
+	if retune != nil {
+		if err := g.server.Retune(*retune); err != nil {
+			panic(err) // the caller checked them: the classes of requests in hand would be lost
+		}
+	}
 	if due {
 		g.asked = false
 		events = append(events, logic.Event{Kind: logic.EvTimer, Tag: g.pending, Gauges: g.lastG})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,6 +165,24 @@
 	return c
 }
 
+// mostNames bounds the names of classes counted, those that callers made up included.
+const mostNames = 512
+
+// Unknown counts a request that a front refused for a class that the settings do not name, under that name, as
+// long as there is room for more names; balancers learn of a retuning late.
+func (n *Node) Unknown(class string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.classes[class]
+	if c == nil && len(n.classes) < mostNames {
+		c = &ClassCounts{}
+		n.classes[class] = c
+	}
+	if c != nil {
+		c.Refused++
+	}
+}
+
 // Classes returns the counts of each class named in the settings, and of any other that has counts, by name.
 func (n *Node) Classes() map[string]ClassCounts {
 	n.mu.Lock()
@@ -181,10 +199,35 @@
 
 // New returns a node; Serve makes it work.
 func New(o Options) *Node {
-	window := func(class int) time.Duration { return span(o.Settings.Classes[class].Window) }
-	return &Node{opts: o, classes: map[string]*ClassCounts{}, byID: map[string]*request{}, byNum: map[uint64]*request{},
-		log:  lograte.New(o.Log, o.Limits.LogEvery),
-		keys: newKeyTable(o.Limits.Keys, o.Limits.KeptResults, o.Limits.KeySlack, window)}
+	n := &Node{opts: o, classes: map[string]*ClassCounts{}, byID: map[string]*request{}, byNum: map[uint64]*request{},
+		log: lograte.New(o.Log, o.Limits.LogEvery)}
+	// Called with n.mu held: the settings are those of the latest Retune.
+	window := func(class int) time.Duration { return span(n.opts.Settings.Classes[class].Window) }
+	n.keys = newKeyTable(o.Limits.Keys, o.Limits.KeptResults, o.Limits.KeySlack, window)
+	return n
+}
+
+// Retune has the core and its module take new settings, as of the next request. The classes of the old settings
+// must keep their places, new ones coming after them, so that each request in hand keeps its class; the tenants must
+// stay (package retune makes such settings). It errs, and changes nothing, where the module would not take them.
+func (n *Node) Retune(s logic.Settings) error {
+	if _, err := logic.New(s, 0); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := n.opts.Settings
+	if len(s.Classes) < len(old.Classes) || len(s.Tenants) != len(old.Tenants) {
+		return errors.New("retune: classes may only be added, and tenants must stay")
+	}
+	for i := range old.Classes {
+		if s.Classes[i].Name != old.Classes[i].Name {
+			return fmt.Errorf("retune: class %d is %q, was %q", i, s.Classes[i].Name, old.Classes[i].Name)
+		}
+	}
+	n.opts.Settings = s
+	n.opts.Gate.Retune(s) // under n.mu: before any request of a new class is reported
+	return nil
 }
 
 // Spare is for how long beyond its window a key is remembered: tries are told apart by when they reached the machine, and
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -41,6 +42,7 @@
 	Runner   node.Runner
 	Classes  map[string]int
 	Tenants  map[string]int
+	Unknown  func(class string) // told of each request refused for a class not in the settings; may be nil
 	Limits   limits.Limits
 	Log      *slog.Logger
 }
@@ -50,7 +52,8 @@
 	opts Options
 	log  *lograte.Logger
 
-	seats *seats.Table
+	seats   *seats.Table
+	classes atomic.Pointer[map[string]int] // as of the latest Retune
 
 	closed chan struct{}
 
@@ -61,10 +64,15 @@
 
 // New returns a front that serves nothing yet.
 func New(o Options) *Front {
-	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{}),
+	f := &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{}),
 		seats: seats.New(o.Limits.Connections, o.Limits.Newcomer, o.Limits.Quiet)}
+	f.classes.Store(&o.Classes)
+	return f
 }
 
+// Retune takes the names of classes of new settings, for requests read from now on. The core must know them first.
+func (f *Front) Retune(classes map[string]int) { f.classes.Store(&classes) }
+
 // listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
 // lack of descriptors: redcon would spin on it.
 type listener struct {
@@ -275,6 +283,15 @@
 		if err != nil { // it was read, so it is owed an answer; it never ran
 			k.answer(m.tag, node.Answer{Kind: node.Refused})
 		}
+		if errors.Is(err, errUnknownClass) {
+			// Well formed, of a class that the settings do not name (yet, or any more): balancers learn of a retuning
+			// late, and the connection carries others' requests, so it is no fault of the connection's.
+			k.front.log.Warn("unknown class: refused", err)
+			if k.front.opts.Unknown != nil {
+				k.front.opts.Unknown(m.do.class)
+			}
+			return nil
+		}
 	case err != nil:
 		k.write(m.tag, words[node.Failed], k.signal(), nil, "")
 	default:
@@ -296,12 +313,14 @@
 	return nil
 }
 
+var errUnknownClass = errors.New("unknown class")
+
 // request is what DO asks for in the core's terms, if there can be such a request at all.
 func (k *conn) request(d *do) (node.Request, error) {
 	o := &k.front.opts
-	class, known := o.Classes[d.class]
+	class, known := (*k.front.classes.Load())[d.class]
 	if !known {
-		return node.Request{}, fmt.Errorf("unknown class %.40q", d.class)
+		return node.Request{}, fmt.Errorf("%w %.40q", errUnknownClass, d.class)
 	}
 	tenant, known := o.Tenants[d.owner]
 	if !known {
--- /dev/null
+++ b/internal/retune/retune_test.go
@@ -0,0 +1,90 @@
+package retune
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+
+	"sloehitch/internal/settings"
+	"sloehitch/logic"
+)
+
+const running = `{"rules": {"grace-to-answer": 80000}, "domain": {"cores": 4, "memory-kb": 65536},
+ "classes": [{"name": "search", "objective": 4300000, "hard-limit": 17000000, "semantics": "retryable", "window": 1},
+             {"name": "book", "objective": 6500000, "hard-limit": 17000000, "semantics": "dedup"}]}`
+
+func flat(t *testing.T, text string) map[string]string {
+	t.Helper()
+	var object map[string]any
+	if err := json.Unmarshal([]byte(text), &object); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Flatten(object)
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct{ name, next, err string }{
+		{"same", running, ""},
+		{"a class added", strings.Replace(running, `"window": 1},`, `"window": 1}, {"name": "new", "objective": 1, "hard-limit": 2, "semantics": "retryable"},`, 1), ""},
+		{"a class dropped", `{"rules": {"grace-to-answer": 1}, "domain": {"cores": 4, "memory-kb": 1},
+		  "classes": [{"name": "book", "objective": 1, "hard-limit": 2, "semantics": "dedup"}]}`, ""},
+		{"a key that only some classes had may go", strings.Replace(running, `, "window": 1`, ``, 1), ""},
+		{"empty", "  \n", "the file is empty"},
+		{"a class lacks its deadline", strings.Replace(running, `"hard-limit": 17000000, "semantics": "dedup"`, `"semantics": "dedup"`, 1), "classes.1.hard-limit"},
+		{"a new class lacks a key", strings.Replace(running, `"window": 1},`, `"window": 1}, {"name": "new", "hard-limit": 2, "semantics": "retryable"},`, 1), "classes.1.objective"},
+		{"a setting lacks", strings.Replace(running, `"grace-to-answer": 80000`, ``, 1), "rules.grace-to-answer"},
+		{"no classes", `{"rules": {"grace-to-answer": 1}, "domain": {"cores": 4, "memory-kb": 1}}`, "keys missing: classes"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var next map[string]string
+			if strings.TrimSpace(c.next) != "" {
+				next = flat(t, c.next)
+			}
+			err := Check([]byte(c.next), flat(t, running), next)
+			if (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) {
+				t.Errorf("got %v, want %q", err, c.err)
+			}
+		})
+	}
+}
+
+func settingsOf(classes ...string) logic.Settings {
+	s := logic.Settings{Cores: 4, MemoryKB: 65536}
+	for i, name := range classes {
+		s.Classes = append(s.Classes, logic.Class{Name: name, Aim: logic.Micros(1000 * (i + 1)), Deadline: 5000})
+	}
+	return s
+}
+
+func TestLay(t *testing.T) {
+	next := settingsOf("c", "b", "d")
+	next.Classes[1].Deadline = 9000
+	p, err := Lay(settingsOf("a", "b", "c"), next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, c := range p.Settings.Classes {
+		names = append(names, c.Name)
+	}
+	if !slices.Equal(names, []string{"a", "b", "c", "d"}) || !slices.Equal(p.Added, []string{"d"}) || !slices.Equal(p.Dropped, []string{"a"}) {
+		t.Errorf("classes %v, added %v, dropped %v", names, p.Added, p.Dropped)
+	}
+	if p.Settings.Classes[1].Deadline != 9000 || p.Settings.Classes[0].Deadline != 5000 {
+		t.Errorf("b takes the new deadline, a keeps its own: %+v", p.Settings.Classes)
+	}
+	if p.Names["d"] != 3 || p.Names["a"] != 0 || len(p.Names) != 4 {
+		t.Errorf("names %v", p.Names)
+	}
+	bad := settingsOf("b")
+	bad.Classes[0].Deadline = 0
+	if _, err := Lay(settingsOf("a", "b"), bad); err == nil {
+		t.Error("a deadline of 0 was laid")
+	}
+	tenants := settingsOf("a")
+	tenants.Tenants = []logic.Tenant{{Name: "t"}}
+	if p, err := Lay(settingsOf("a"), tenants); err != nil || !p.Tenants || len(p.Settings.Tenants) != 0 {
+		t.Errorf("tenants changed: %v, %+v", err, p)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -186,6 +186,28 @@
 	return s, nil
 }
 
+// Retune takes new settings while requests are in hand. Classes keep their places and new
+// ones come after them, so that each request keeps its class; tenants stay as they are.
+func (s *Server) Retune(cfg Settings) error {
+	if err := check(cfg); err != nil {
+		return err
+	}
+	if len(cfg.Classes) < len(s.classes) || len(cfg.Tenants) != len(s.cfg.Tenants) {
+		return errors.New("settings: while requests are in hand classes may only be added")
+	}
+	cfg.RunFactor = max(1, cfg.RunFactor)
+	s.cfg, s.aim = cfg, 0
+	for i, c := range cfg.Classes {
+		if i == len(s.classes) {
+			s.classes = append(s.classes, &classState{})
+		}
+		s.classes[i].Class = c
+		s.aim += float64(c.Aim) / float64(len(cfg.Classes))
+		s.topWorth = max(s.topWorth, c.Worth)
+	}
+	return nil
+}
+
 func check(cfg Settings) error {
 	if cfg.Cores <= 0 || cfg.MemoryKB <= 0 || cfg.CallsShare > 0 && cfg.CallsSpan <= 0 {
 		return errors.New("settings: cores, memory and the span of a share of calls must be above 0")
