Show the figures by class to Prometheus too, and make operators' calls from the command line

A real-socket test reads telemetry after requests were served and refused and checks evacuate (RED, still served) and activate.

--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"slices"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -18,6 +19,7 @@
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/ops"
 	"sloehitch/internal/store"
 )
 
@@ -30,9 +32,22 @@
 	Describe describeCmd `cmd:"" help:"Print the AsyncAPI description of the platform's messages."`
 	State    stateCmd    `cmd:"" help:"Show or change the operators' state, on all members of the store."`
 	Ledger   ledgerCmd   `cmd:"" help:"Look into a ledger's folder, check it, copy it, mend it."`
+	Ops      opsCmd      `cmd:"" help:"Make an operators' call to a running daemon: readyz, telemetry, evacuate or activate."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
+type opsCmd struct {
+	Address string        `help:"The daemon's ops address." env:"GW_OPS" required:""`
+	Timeout time.Duration `help:"How long to wait for the whole answer." default:"2s"`
+	Call    string        `arg:"" help:"readyz, telemetry, evacuate or activate."`
+}
+
+func (c *opsCmd) Run() error {
+	answer, err := ops.Ask(c.Address, c.Call, c.Timeout)
+	fmt.Print(answer)
+	return err
+}
+
 // files are the flags that name configuration files.
 type files struct {
 	Config string `help:"The platform's configuration, as JSON." env:"GW_CONFIG" required:"" type:"path"`
--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -627,3 +628,72 @@
 		t.Errorf("figures lack the classes %v", want)
 	}
 }
+
+// TestOpsCalls: on the operators' address the figures match what was served, evacuate turns health checks bad while
+// requests are still served, and activate turns them good again.
+func TestOpsCalls(t *testing.T) {
+	ln := standin.Listen(t)
+	ln.Close()
+	t.Setenv("GW_OPS", ln.Addr().String())
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	s := serveNode(t, ample, rt)
+	<-rt.Syncs
+	call := func(line string) []string {
+		t.Helper()
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(ample))
+		fmt.Fprintf(c, "%s\n", line)
+		text, err := io.ReadAll(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strings.Split(strings.TrimSuffix(string(text), "\n"), "\n")
+	}
+	if got := call("readyz"); got[0] != "ACK ready" {
+		t.Errorf("readyz: %q", got)
+	}
+	b := standin.Dial(t, s.address)
+	defer b.Close()
+	health := func(tag, want string) {
+		t.Helper()
+		if b.Send(standin.Array("PING", tag)); b.Read()[1] != want {
+			t.Errorf("health check %s: want %s", tag, want)
+		}
+	}
+	for i := range 3 {
+		b.Do(i+1, "slot-search", req(i+1), time.Now(), "a", "")
+		if got := b.Read(); len(got) < 2 || got[1] != "ACK" {
+			t.Fatalf("answer %q", got)
+		}
+		if i == 0 {
+			if got := call("evacuate"); got[0] != "ACK evacuating" {
+				t.Errorf("evacuate: %q", got)
+			}
+			health("7", "RED")
+		}
+	}
+	b.Do(9, "fresh", req(9), time.Now(), "a", "")
+	b.Read()
+	figures := call("telemetry")
+	for _, want := range []string{"ACK", "app.responses.slot-search.ok:3|c", "app.responses.slot-search.tries:3|c", "app.responses.slot-search.shed:0|c",
+		"app.responses.book.ok:0|c", "app.responses.fresh.shed:1|c", "app.active:0|g", "app.config_applied:0|c", "--"} {
+		if !slices.Contains(figures, want) {
+			t.Errorf("telemetry lacks %q: %q", want, figures)
+		}
+	}
+	if figures[len(figures)-1] != "--" {
+		t.Errorf("telemetry does not end in --: %q", figures)
+	}
+	if got := call("activate"); got[0] != "ACK active" {
+		t.Errorf("activate: %q", got)
+	}
+	health("8", "GREEN")
+	if got := call("drain now"); !strings.HasPrefix(got[0], "NAK") {
+		t.Errorf("a bad call: %q", got)
+	}
+	health("10", "GREEN")
+}
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -367,7 +367,8 @@
 	if address == "" {
 		return nil
 	}
-	from := metrics.Sources{Core: d.node.Totals, Resp: d.front.Open}
+	from := metrics.Sources{Core: d.node.Totals, Resp: d.front.Open, Classes: d.node.Classes,
+		Config: func() (int, int) { return int(d.applied.Load()), int(d.rejected.Load()) }}
 	if d.uwsgi != nil {
 		from.Uwsgi = func() (uwsgi.Counts, int) { return d.uwsgi.Totals(), d.uwsgi.Open() }
 		from.Servers = d.servers.Servers
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -27,6 +27,8 @@
 	Uwsgi   func() (c uwsgi.Counts, open int)
 	Servers func() []choice.Server
 	Ledger  func() ledger.Stats
+	Classes func() map[string]node.ClassCounts // the counts that the operators' telemetry shows too
+	Config  func() (applied, rejected int)     // configuration files taken and turned down at SIGHUP
 }
 
 // Metrics is the daemon's figures.
@@ -98,6 +100,9 @@
 	ledgerOut  = desc("ledger_written_bytes_total", "Bytes written to the ledger, by whom.", "by")
 	ledgerSync = desc("ledger_flushes_total", "Flushes of the ledger's log.")
 	ledgerSick = desc("ledger_broken", "1 if the ledger takes no writes until a restart.")
+	byClass    = desc("class_responses_total", "Final answers by class: ok (served), shed (refused), errors (failed).", "class", "result")
+	classRuns  = desc("class_tries_total", "Runs handed to the runner, by class.", "class")
+	reloads    = desc("config_reloads_total", "Configuration files at SIGHUP, taken (applied) or turned down (rejected).", "result")
 )
 
 // Describe names nothing: the servers come and go.
@@ -120,6 +125,19 @@
 		send(handled, now, float64(hand))
 		send(keys, now, float64(known))
 	}
+	if c.from.Classes != nil {
+		for name, n := range c.from.Classes() {
+			send(byClass, total, float64(n.Served), name, "ok")
+			send(byClass, total, float64(n.Refused), name, "shed")
+			send(byClass, total, float64(n.Failed), name, "errors")
+			send(classRuns, total, float64(n.Ran), name)
+		}
+	}
+	if c.from.Config != nil {
+		applied, rejected := c.from.Config()
+		send(reloads, total, float64(applied), "applied")
+		send(reloads, total, float64(rejected), "rejected")
+	}
 	if c.from.Resp != nil {
 		send(conns, now, float64(c.from.Resp()), "resp")
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -45,13 +45,19 @@
 			return []choice.Server{{Name: "127.0.0.1:1", State: choice.Out, Open: 1, Room: 9}}
 		},
 		Ledger: func() ledger.Stats { return ledger.Stats{Keys: 11, Broken: "a flush failed"} },
+		Classes: func() map[string]node.ClassCounts {
+			return map[string]node.ClassCounts{"book": {Served: 4, Refused: 2, Ran: 5}}
+		},
+		Config: func() (int, int) { return 2, 1 },
 	}, uwsgi.RunTimes{Started: at, Tries: []uwsgi.TryTimes{{Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second)}}, Done: at.Add(4 * time.Second), Outcome: "ok"},
 		uwsgi.RunTimes{Started: at, Done: at.Add(time.Second), Outcome: "moot"})
 	for _, line := range []string{`sloehitch_requests_total{outcome="refused"} 3`, `sloehitch_bookings_unrecorded_total 1`, `sloehitch_requests_in_hand 2`,
 		`sloehitch_keys 5`, `sloehitch_connections{front="resp"} 4`, `sloehitch_connections{front="uwsgi"} 8`, `sloehitch_uwsgi_requests_total{what="malformed"} 6`,
 		`sloehitch_uwsgi_server_state{server="127.0.0.1:1",state="out"} 1`, `sloehitch_uwsgi_server_room{server="127.0.0.1:1"} 9`, `sloehitch_ledger_keys 11`,
 		`sloehitch_ledger_broken 1`, `sloehitch_uwsgi_run_seconds_sum{outcome="ok",stage="first_byte"} 3`,
-		`sloehitch_uwsgi_run_seconds_count{outcome="moot",stage="done"} 1`, `go_goroutines`} {
+		`sloehitch_uwsgi_run_seconds_count{outcome="moot",stage="done"} 1`, `go_goroutines`,
+		`sloehitch_class_responses_total{class="book",result="ok"} 4`, `sloehitch_class_responses_total{class="book",result="shed"} 2`,
+		`sloehitch_class_tries_total{class="book"} 5`, `sloehitch_config_reloads_total{result="rejected"} 1`} {
 		if !strings.Contains(all, "\n"+line) {
 			t.Errorf("no line %q", line)
 		}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -241,3 +241,32 @@
 	_ = c.SetWriteDeadline(time.Now().Add(s.lim.Write))
 	_, _ = c.Write(b)
 }
+
+// Ask makes one call at address and returns the whole answer. It blocks until the node closes the connection or
+// the timeout passes; it errs where the call is not one of the four, where the node can't be reached, and where the
+// answer begins with NAK (the answer is returned then too).
+func Ask(address, call string, timeout time.Duration) (string, error) {
+	if _, err := Parse(call); err != nil {
+		return "", err
+	}
+	c, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return "", err
+	}
+	if _, err := c.Write([]byte(call + "\n")); err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	if _, err := bufio.NewReader(c).WriteTo(&b); err != nil {
+		return b.String(), err
+	}
+	answer := b.String()
+	if !strings.HasPrefix(answer, "ACK") {
+		return answer, fmt.Errorf("the node says: %s", strings.TrimSpace(answer))
+	}
+	return answer, nil
+}
