Claim keys across the old and new process, and serve connections taken while leaving

Lost: the logs show each old process leaving 2 to 3.3 s after SIGTERM, by its own check that no connection is open and nothing is owed (serve.go leave), not by the kill. Ruled out: the kill, which comes later (no 'left at the last moment' line). At fault: resp/front.go, where Accept handed a connection to redcon before it was counted in Open (so the process could leave with it) and closed a connection taken while leaving unread, though on a shared listener its client had no way to know.

Claims are swept once their window and spare are over. On only where clients come from GW_ACCEPT_FD and the ledger is off. Not taken: a ledger both open, which its lock forbids; talk between the processes, which the platform forbids.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -697,3 +697,74 @@
 	}
 	health("10", "GREEN")
 }
+
+// TestHandOver: two processes take clients from one inherited listener and share $TMPDIR, as while one replaces the
+// other: the old one holds its connections and stops taking new ones, which go to the new one. Tries of one key
+// reach both, and the key runs once; every try is answered, and none is refused.
+func TestHandOver(t *testing.T) {
+	ln := standin.Listen(t)
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ln.Close() // the platform's copy stays open in f
+	t.Setenv("TMPDIR", t.TempDir())
+	// Each process has an address of the runtime of its own; here they are two stand-ins, one for each.
+	work := func(*standin.Job) (string, string) { return "OK", "r" }
+	runtimes := []*standin.Runtime{standin.NewRuntime(t, work), standin.NewRuntime(t, work)}
+	var conns []*standin.Balancer
+	for _, rt := range runtimes {
+		p, err := config.Parse([]byte(standin.Config("127.0.0.1:1", rt.Address, "", ample)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		inherited, err := syscall.Dup(int(f.Fd())) // each process has a descriptor of its own, and closes it
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Setenv("GW_ACCEPT_FD", fmt.Sprint(inherited))
+		d, err := start(&loaded{platform: p, deploy: &config.Deploy{}}, limits.For(64, 256), standin.Quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go d.run(make(chan os.Signal, 1))
+		<-rt.Syncs
+		for range 3 {
+			b := standin.Dial(t, ln.Addr().String())
+			b.Send(standin.Array("PING", "1"))
+			b.Read()
+			conns = append(conns, b)
+		}
+		if d.front.Open() != 3 {
+			t.Fatalf("the process holds %d connections, not its 3", d.front.Open())
+		}
+		for _, ln := range d.listeners {
+			ln.Close() // it takes no more: the next process does
+		}
+	}
+	conns[0].Do(2, "book", req(2), time.Now(), "a", ",opkey=k1") // the old process runs it
+	if got := conns[0].Read(); len(got) < 2 || got[1] != "ACK" {
+		t.Fatalf("the first try: %q", got)
+	}
+	for i, b := range conns[1:] {
+		b.Do(i+3, "book", req(i+3), time.Now(), "a", ",opkey=k1")
+	}
+	served := 1
+	for _, b := range conns[1:] {
+		got := b.Read()
+		if len(got) < 2 {
+			t.Fatalf("no answer: %q", got)
+		}
+		if got[1] == "ACK" {
+			served++
+		}
+		if got[1] == "NAK" {
+			t.Errorf("a try of a key that may have run was refused: %q", got)
+		}
+		b.Close()
+	}
+	if n := runtimes[0].Runs("a") + runtimes[1].Runs("a"); n != 1 || served < 3 {
+		t.Errorf("ran %d times, %d of %d tries served; want one run, served at least by the process that ran it", n, served, len(conns))
+	}
+}
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -22,6 +23,7 @@
 
 	"sloehitch/internal/bookings"
 	"sloehitch/internal/catalogue"
+	"sloehitch/internal/claims"
 	"sloehitch/internal/config"
 	"sloehitch/internal/directory"
 	"sloehitch/internal/endpoint"
@@ -90,6 +92,7 @@
 	traces    *traces.Traces                  // nil where they are off
 	ledger    *ledger.Store                   // nil where it is off
 	bookings  *bookings.Record                // nil with it
+	claims    *claims.Claims                  // nil but where clients come from an inherited listener and the ledger is off
 	servers   *uwsgi.Pool                     // nil where uwsgi is off
 	keys      []*tlskeys.Keys                 // of the uwsgi side
 	closed    atomic.Bool                     // out of service by the operators' word
@@ -141,6 +144,9 @@
 	if err := d.openLedger(&options); err != nil {
 		return nil, err
 	}
+	if err := d.openClaims(&options, clock); err != nil {
+		return nil, err
+	}
 	d.node = node.New(options)
 	if err := d.restore(); err != nil { // before the first request is taken
 		return nil, err
@@ -199,6 +205,22 @@
 	return nil
 }
 
+// openClaims keeps the keys of bookings in a folder of $TMPDIR where the platform holds the clients' listener, so
+// that an old and a new process that take clients at once never both run a key. The ledger, where it is on, does
+// that and more.
+func (d *daemon) openClaims(o *node.Options, clock systemClock) (err error) {
+	if o.Journal != nil || os.Getenv("GW_ACCEPT_FD") == "" {
+		return nil
+	}
+	dir := filepath.Join(os.TempDir(), "sloehitch-"+d.name+"-claims")
+	if d.claims, err = claims.Open(dir, node.Spare(d.limits), clock.Now); err != nil {
+		return err
+	}
+	o.Journal = d.claims
+	d.log.Info("keys claimed in a folder shared with the process that comes next", "folder", dir)
+	return nil
+}
+
 // restore tells the core what ran before a restart.
 func (d *daemon) restore() error {
 	if d.bookings == nil {
@@ -458,6 +480,11 @@
 			if d.bookings != nil {
 				d.bookings.Retry()
 			}
+			if d.claims != nil {
+				if _, err := d.claims.Sweep(); err != nil {
+					d.log.Warn("claims of keys not swept", "error", err)
+				}
+			}
 		case <-keys.C:
 			for _, k := range d.keys {
 				k.Check()
@@ -501,6 +528,9 @@
 			}
 			d.front.Leave()
 		case <-look.C:
+			if shut {
+				d.front.Sweep() // connections taken just before the listener closed are asked to close too
+			}
 			if shut && d.open() == 0 && d.node.Owed() == 0 {
 				d.log.Info("left")
 				return
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"time"
 
 	"sloehitch/logic"
@@ -68,12 +69,19 @@
 	n.counts.Restored++
 }
 
+// ErrTaken is what a Journal's Began returns where another process holds the key: the key may have run there, so a
+// try of it here is neither run nor refused.
+var ErrTaken = errors.New("the key is held by another process")
+
 // record asks for a booking's start to be made durable; the run is started when that is done. A start that has to
 // wait too long is taken back.
 func (n *Node) record(r *request) {
 	r.stage = starting
 	num := r.num
-	if err := n.opts.Journal.Began(n.booking(r), func(err error) { n.recorded(num, err) }); err != nil {
+	if err := n.opts.Journal.Began(n.booking(r), func(err error) { n.recorded(num, err) }); errors.Is(err, ErrTaken) {
+		n.taken(r)
+		return
+	} else if err != nil {
 		n.unrecorded(r, err)
 		return
 	}
@@ -96,6 +104,16 @@
 	n.start(r)
 }
 
+// taken fails a booking whose key another process holds. Its claim is that process's, so nothing is withdrawn.
+func (n *Node) taken(r *request) {
+	r.stage = held
+	if e := n.keys.entries[r.Key]; e != nil && e.owner == r {
+		e.ran = false
+	}
+	n.settle(r, Answer{Kind: Failed})
+	n.finish(r, logic.Moot, 0, nil)
+}
+
 // unrecorded refuses a booking that could not be made durable in time.
 func (n *Node) unrecorded(r *request, err error) {
 	n.counts.Unrecorded++
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -54,6 +54,7 @@
 
 	seats   *seats.Table
 	classes atomic.Pointer[map[string]int] // as of the latest Retune
+	pending atomic.Int64                   // connections accepted and not yet among conns
 
 	closed chan struct{}
 
@@ -91,8 +92,6 @@
 		case err != nil:
 			l.f.log.Warn("accept failed", err)
 			time.Sleep(l.f.opts.Limits.RetryLeast)
-		case l.f.isLeaving():
-			c.Close() // nothing was read from it, so nothing is owed
 		default:
 			seat := l.f.seats.Take(func() { c.Close() })
 			if seat == nil {
@@ -100,18 +99,17 @@
 				continue
 			}
 			lim := l.f.opts.Limits
+			// Counted as open until Serve has it among its connections: a process that looked in between would
+			// think itself free to leave, and close a connection that a client may have written to. Even while
+			// leaving it is served and asked to close like the others: where the listener is shared with the
+			// process that comes next, the client never learns that it reached this one.
+			l.f.pending.Add(1)
 			return &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
 				limit: lim.Message, since: time.Now(), seat: seat}, nil
 		}
 	}
 }
 
-func (f *Front) isLeaving() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.leaving
-}
-
 // Serve serves what comes in on ln until it is closed.
 func (f *Front) Serve(ln net.Listener) error {
 	accept := func(c redcon.Conn) bool {
@@ -120,6 +118,7 @@
 		f.mu.Lock()
 		f.conns[k] = struct{}{}
 		f.mu.Unlock()
+		f.pending.Add(-1)
 		return true
 	}
 	handle := func(c redcon.Conn, cmd redcon.Command) {
@@ -170,7 +169,7 @@
 func (f *Front) Open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns)
+	return len(f.conns) + int(f.pending.Load())
 }
 
 // conn is one balancer's connection.
