Test the operators' calls in a crowd, with memory and descriptors halved

The test fills the front with more such connections than it has seats (32 MB, 192 descriptors), half of them with half a message, then makes all four calls on the ops address and serves a true request on a new connection. It passes: the calls have their own listener, and the front makes room by letting go of those that never sent a whole message.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -17,6 +17,7 @@
 	"sloehitch/internal/config"
 	"sloehitch/internal/describe"
 	"sloehitch/internal/limits"
+	"sloehitch/internal/ops"
 	"sloehitch/internal/standin"
 	"sloehitch/internal/store"
 	"sloehitch/internal/uwsgi/packet"
@@ -768,3 +769,43 @@
 		t.Errorf("ran %d times, %d of %d tries served; want one run, served at least by the process that ran it", n, served, len(conns))
 	}
 }
+
+// TestOpsInACrowd: with memory and descriptors halved and the front full of connections that never finish a
+// request, more than it has seats for, the operators' calls are answered, and a true request on a new connection
+// is still served.
+func TestOpsInACrowd(t *testing.T) {
+	ln := standin.Listen(t)
+	ln.Close()
+	t.Setenv("GW_OPS", ln.Addr().String())
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	lim := limits.For(32, 192)
+	s := serveWithin(t, lim, ample, rt)
+	<-rt.Syncs
+	var crowd []net.Conn
+	for i := range lim.Connections + 20 {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i%2 == 0 {
+			c.Write([]byte("*3\r\n$2\r\nDO")) // half a message
+		}
+		crowd = append(crowd, c)
+	}
+	defer func() {
+		for _, c := range crowd {
+			c.Close()
+		}
+	}()
+	for _, call := range []string{"readyz", "telemetry", "evacuate", "activate"} {
+		if answer, err := ops.Ask(ln.Addr().String(), call, ample); err != nil || !strings.HasPrefix(answer, "ACK") {
+			t.Errorf("%s in a crowd: %q, %v", call, answer, err)
+		}
+	}
+	b := standin.Dial(t, s.address)
+	defer b.Close()
+	b.Do(1, "slot-search", req(1), time.Now(), "a", "")
+	if got := b.Read(); len(got) < 2 || got[1] != "ACK" {
+		t.Errorf("a true request in a crowd: %q", got)
+	}
+}
