--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -529,7 +529,7 @@
 			d.front.Leave()
 		case <-look.C:
 			if shut {
-				d.front.Sweep() // connections taken just before the listener closed are asked to close too
+				d.front.Ask() // connections taken just before the listener closed are asked to close too; none is cut
 			}
 			if shut && d.open() == 0 && d.node.Owed() == 0 {
 				d.log.Info("left")
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -66,6 +66,13 @@
 	return nil
 }
 
+// Held tells whether a claim of b's key stands, made by this process or another: a refusal of a try of it would
+// send it to run again.
+func (c *Claims) Held(b node.Booking) bool {
+	_, err := os.Stat(c.name(b))
+	return err == nil
+}
+
 // Ended keeps the claim: the key ran here, and must not run elsewhere within its window.
 func (c *Claims) Ended(node.Booking) {}
 
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -34,12 +34,18 @@
 	if err := next.Began(b, func(error) { t.Error("done called for a key taken") }); !errors.Is(err, node.ErrTaken) {
 		t.Fatalf("the second process began a key that the first holds: %v", err)
 	}
+	if !next.Held(b) {
+		t.Error("the other process does not see the claim")
+	}
 	other := b
 	other.Class = "search" // the same key in another class is another booking
 	if err := next.Begin(other, done); err != nil || <-done != nil {
 		t.Fatalf("another class: %v", err)
 	}
 	next.Withdraw(other)
+	if next.Held(other) {
+		t.Error("a withdrawn claim is still held")
+	}
 	old.Ended(b)
 	if left, err := next.Sweep(); err != nil || left != 1 {
 		t.Fatalf("before the window ends: %d left, %v", left, err)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -69,6 +69,24 @@
 	n.counts.Restored++
 }
 
+// Holder is a Journal that knows of keys that another process holds.
+type Holder interface {
+	// Held tells whether another process holds the key of b: it may have run there. It must not block for long.
+	Held(b Booking) bool
+}
+
+// heldElsewhere tells whether the journal knows r's key to be held by another process.
+func (n *Node) heldElsewhere(r *request) bool {
+	h, ok := n.opts.Journal.(Holder)
+	if !ok {
+		return false
+	}
+	if e := n.keys.entries[r.Key]; e != nil && e.ran {
+		return false // held here
+	}
+	return h.Held(n.booking(r))
+}
+
 // ErrTaken is what a Journal's Began returns where another process holds the key: the key may have run there, so a
 // try of it here is neither run nor refused.
 var ErrTaken = errors.New("the key is held by another process")
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -154,6 +154,26 @@
 	}
 }
 
+// Ask asks each connection that has not been asked yet to close, and cuts none: while leaving, balancers learn
+// late and may still send on a connection that was asked, and what they send is served until the kill.
+func (f *Front) Ask() {
+	f.mu.Lock()
+	conns := make([]*conn, 0, len(f.conns))
+	for k := range f.conns {
+		conns = append(conns, k)
+	}
+	f.mu.Unlock()
+	now := time.Now()
+	for _, k := range conns {
+		k.mu.Lock()
+		if k.finAt.IsZero() {
+			k.finAt = now
+			k.queue("0", "FIN", nil, nil)
+		}
+		k.mu.Unlock()
+	}
+}
+
 // Leave asks all balancers to send nothing more here.
 func (f *Front) Leave() {
 	f.mu.Lock()
