Leave by the kill of a replacement where the listener is inherited

Now config.StopReplaced gives that time where GW_ACCEPT_FD is set, and leave uses it.

Table test of StopReplaced.

--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -505,6 +505,9 @@
 // have closed, or just before the kill.
 func (d *daemon) leave() {
 	stop := d.platform.Stop()
+	if os.Getenv("GW_ACCEPT_FD") != "" {
+		stop = d.platform.StopReplaced() // the platform holds the listener: a new process replaces this one
+	}
 	d.log.Info("leaving", "stop", stop)
 	kill := time.After(stop - d.limits.KillSpare/2)
 	d.node.Leave(stop)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -96,3 +96,14 @@
 
 // Stop is the time from the notice to leave to the kill.
 func (p *Platform) Stop() time.Duration { return time.Duration(p.StopMS) * time.Millisecond }
+
+// StopReplaced is that time where a new process replaces this one (the operators' page of days, "Replacing the
+// process"): the kill comes after the longest deadline of the classes, taken as 3 s where it is longer, and 0.7 s,
+// or after Stop if that is sooner.
+func (p *Platform) StopReplaced() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range p.Logic.Classes {
+		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
+	}
+	return min(p.Stop(), min(longest, 3*time.Second)+700*time.Millisecond)
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"sloehitch/logic"
+
 	"sloehitch/internal/standin"
 )
 
@@ -96,3 +98,23 @@
 		t.Errorf("deploy/sloehitch.toml: %+v, %v", d, err)
 	}
 }
+
+func TestStopReplaced(t *testing.T) {
+	for _, c := range []struct {
+		stopMS    int64
+		deadlines []logic.Micros
+		want      time.Duration
+	}{
+		{4500, []logic.Micros{17_000_000, 1_000_000}, 3700 * time.Millisecond},
+		{4500, []logic.Micros{1_000_000, 2_000_000}, 2700 * time.Millisecond},
+		{2000, []logic.Micros{17_000_000}, 2 * time.Second},
+	} {
+		p := Platform{StopMS: c.stopMS}
+		for _, d := range c.deadlines {
+			p.Logic.Classes = append(p.Logic.Classes, logic.Class{Deadline: d})
+		}
+		if got := p.StopReplaced(); got != c.want {
+			t.Errorf("stop_ms %d, deadlines %v: %v, want %v", c.stopMS, c.deadlines, got, c.want)
+		}
+	}
+}
