--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,10 +155,13 @@
 }
 
 // class is the counts of r's class, made where there are none yet.
-func (n *Node) class(r *request) *ClassCounts {
-	name := n.opts.Settings.Classes[r.Class].Name
+func (n *Node) class(r *request) *ClassCounts { return n.named(n.opts.Settings.Classes[r.Class].Name, true) }
+
+// named is the counts of a class by name, made where there are none yet and it is a class of the settings (known)
+// or there is room for more names; nil otherwise.
+func (n *Node) named(name string, known bool) *ClassCounts {
 	c := n.classes[name]
-	if c == nil {
+	if c == nil && (known || len(n.classes) < mostNames) {
 		c = &ClassCounts{}
 		n.classes[name] = c
 	}
@@ -173,12 +176,7 @@
 func (n *Node) Unknown(class string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c := n.classes[class]
-	if c == nil && len(n.classes) < mostNames {
-		c = &ClassCounts{}
-		n.classes[class] = c
-	}
-	if c != nil {
+	if c := n.named(class, false); c != nil {
 		c.Refused++
 	}
 }
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -167,8 +167,7 @@
 	for _, k := range conns {
 		k.mu.Lock()
 		if k.finAt.IsZero() {
-			k.finAt = now
-			k.queue("0", "FIN", nil, nil)
+			k.ask(now)
 		}
 		k.mu.Unlock()
 	}
@@ -503,7 +502,12 @@
 			k.cut()
 		}
 	case leaving, len(k.open) == 0 && idle > 0 && now.Sub(k.used) > idle:
-		k.finAt = now
-		k.queue("0", "FIN", nil, nil)
+		k.ask(now)
 	}
 }
+
+// ask asks the balancer to close the connection; k.mu is held.
+func (k *conn) ask(now time.Time) {
+	k.finAt = now
+	k.queue("0", "FIN", nil, nil)
+}
