--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,9 @@
 }
 
 // class is the counts of r's class, made where there are none yet.
-func (n *Node) class(r *request) *ClassCounts { return n.named(n.opts.Settings.Classes[r.Class].Name, true) }
+func (n *Node) class(r *request) *ClassCounts {
+	return n.named(n.opts.Settings.Classes[r.Class].Name, true)
+}
 
 // named is the counts of a class by name, made where there are none yet and it is a class of the settings (known)
 // or there is room for more names; nil otherwise.
