Keep claims of keys in shared logs, and hear the other process's result of a key

Design: each process appends to segments of its own and reads the other's; one file lock orders what is told, so whoever asks first holds a key, and a batch of claims shares one turn at the lock. A claim is followed by a record with the run's result. A try that meets a claim of another process leaves the module's hands, waits for that result within its due time and hears it; one whose process died without an end fails. Segments are dropped whole when all in them has expired. Not taken: a file a key (cost above), a socket between the two (instances may not talk), the ledger for both (one process at a time opens it), polling each key (one look at two files every 5 ms, and only while somebody waits).

Tests: three processes on the same 400 keys, two killed at seeded points, no key twice and no result of another key; every byte of a segment cut and changed; property test of records read in any order.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -405,7 +405,7 @@
 			t.Errorf("%s ran %d times", body, n)
 		}
 	}
-	s.node.Leave(time.Minute) // what comes later than the grace is refused, and told when to come back
+	s.node.Leave(time.Minute, false) // what comes later than the grace is refused, and told when to come back
 	time.Sleep(1100 * time.Millisecond)
 	if got := ask(t, s.uwsgi, "fine", post("4")...); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "\r\nRetry-After: 1\r\n") {
 		t.Errorf("leaving: %q", got)
@@ -701,7 +701,7 @@
 
 // TestHandOver: two processes take clients from one inherited listener and share $TMPDIR, as while one replaces the
 // other: the old one holds its connections and stops taking new ones, which go to the new one. Tries of one key
-// reach both, and the key runs once; every try is answered, and none is refused.
+// reach both, and the key runs once; every try hears that run's result, whichever process it came to.
 func TestHandOver(t *testing.T) {
 	ln := standin.Listen(t)
 	f, err := ln.(*net.TCPListener).File()
@@ -763,10 +763,12 @@
 		if got[1] == "NAK" {
 			t.Errorf("a try of a key that may have run was refused: %q", got)
 		}
-		b.Close()
 	}
-	if n := runtimes[0].Runs("a") + runtimes[1].Runs("a"); n != 1 || served < 3 {
-		t.Errorf("ran %d times, %d of %d tries served; want one run, served at least by the process that ran it", n, served, len(conns))
+	if n := runtimes[0].Runs("a") + runtimes[1].Runs("a"); n != 1 || served != len(conns) {
+		t.Errorf("ran %d times, %d of %d tries served; want one run, heard by all", n, served, len(conns))
+	}
+	for _, b := range conns {
+		b.Close()
 	}
 }
 
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -213,7 +213,9 @@
 		return nil
 	}
 	dir := filepath.Join(os.TempDir(), "sloehitch-"+d.name+"-claims")
-	if d.claims, err = claims.Open(dir, node.Spare(d.limits), clock.Now); err != nil {
+	d.claims, err = claims.Open(claims.Options{Dir: dir, Spare: node.Spare(d.limits), Now: clock.Now,
+		Limits: limits.ForClaims(d.platform.Caps.MemoryMB), Log: d.log})
+	if err != nil {
 		return err
 	}
 	o.Journal = d.claims
@@ -232,12 +234,15 @@
 	return nil
 }
 
-// closeLedger flushes what is still on its way to the disk.
-func (d *daemon) closeLedger() error {
-	if d.ledger == nil {
-		return nil
+// closeRecords writes what is still on its way to the ledger, and tells other processes what is still to be told.
+func (d *daemon) closeRecords() (err error) {
+	if d.claims != nil {
+		err = d.claims.Close()
 	}
-	return d.ledger.Close()
+	if d.ledger != nil {
+		err = errors.Join(err, d.ledger.Close())
+	}
+	return err
 }
 
 // clients is the listener for balancers: the one that the platform holds and hands down as the descriptor named in
@@ -473,7 +478,7 @@
 	for {
 		select {
 		case err := <-d.failed:
-			return errors.Join(err, d.closeLedger(), d.closeTraces())
+			return errors.Join(err, d.closeRecords(), d.closeTraces())
 		case <-sweep.C:
 			d.node.Sweep()
 			d.front.Sweep()
@@ -481,9 +486,7 @@
 				d.bookings.Retry()
 			}
 			if d.claims != nil {
-				if _, err := d.claims.Sweep(); err != nil {
-					d.log.Warn("claims of keys not swept", "error", err)
-				}
+				d.claims.Sweep()
 			}
 		case <-keys.C:
 			for _, k := range d.keys {
@@ -495,7 +498,7 @@
 			d.reload()
 		case <-stop:
 			d.leave()
-			return errors.Join(d.store.Close(), d.closeLedger(), d.closeTraces())
+			return errors.Join(d.store.Close(), d.closeRecords(), d.closeTraces())
 		}
 	}
 }
@@ -510,7 +513,7 @@
 	}
 	d.log.Info("leaving", "stop", stop)
 	kill := time.After(stop - d.limits.KillSpare/2)
-	d.node.Leave(stop)
+	d.node.Leave(stop, false)
 	d.leaving.Store(true)
 	d.pulse.Close(true)
 	grace := time.After(min(time.Duration(d.platform.Logic.DrainGrace)*time.Microsecond-d.limits.GraceSpare, stop/2))
@@ -633,6 +636,9 @@
 	if d.uwsgi != nil {
 		args = append(args, "uwsgi", d.uwsgi.Totals())
 	}
+	if d.claims != nil {
+		args = append(args, "claims", d.claims.Stats())
+	}
 	if d.ledger != nil {
 		t := d.ledger.Stats()
 		args = append(args, "ledger_keys", t.Keys, "ledger_bytes", t.Disk, "ledger_flushes", t.Flushes, "ledger_broken", t.Broken)
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -1,85 +1,431 @@
 package claims
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
+	"sloehitch/internal/standin"
 )
 
-// TestOneProcessHoldsAKey: of two processes on one folder only the first to begin a key holds it, until it lets
-// go of a key that did not run or the key's window is over.
-func TestOneProcessHoldsAKey(t *testing.T) {
-	dir := t.TempDir()
-	now := time.Unix(1764576000, 0)
-	clock := func() time.Time { return now }
-	old, err := Open(dir, time.Second, clock)
-	if err != nil {
-		t.Fatal(err)
+// clock is moved by tests.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) move(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+var start = time.UnixMilli(1764576000000)
+
+func open(t testing.TB, dir string, now func() time.Time, change func(*limits.Claims)) *Claims {
+	t.Helper()
+	lim := limits.ForClaims(64)
+	if change != nil {
+		change(&lim)
 	}
-	next, err := Open(dir, time.Second, clock)
+	c, err := Open(Options{Dir: dir, Spare: time.Second, Now: now, Limits: lim, Log: standin.Quiet})
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := node.Booking{Key: "k1", Class: "book", Arrived: now, Window: 10 * time.Second}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func booking(key string) node.Booking {
+	return node.Booking{Key: key, Class: "book", Arrived: start, Window: 10 * time.Second, Digest: [32]byte{1}, Front: "resp"}
+}
+
+// begin claims a key and waits for how that went.
+func begin(t testing.TB, c *Claims, b node.Booking) error {
+	t.Helper()
 	done := make(chan error, 1)
-	if err := old.Begin(b, done); err != nil {
-		t.Fatal(err)
+	if err := c.Began(b, func(err error) { done <- err }); err != nil {
+		return err
 	}
-	if err := <-done; err != nil {
-		t.Fatal(err)
+	return wait(t, done)
+}
+
+func wait[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(standin.Patience):
+		t.Fatal("nothing came")
+		panic("unreached")
+	}
+}
+
+// end tells a served result and waits until it stands: what is told comes in order.
+func end(t testing.TB, c *Claims, b node.Booking, result string) {
+	t.Helper()
+	b.Ended, b.Served, b.Kept, b.Result = true, true, true, []byte(result)
+	c.Ended(b)
+	settle(t, c)
+}
+
+func settle(t testing.TB, c *Claims) {
+	t.Helper()
+	swept := make(chan struct{})
+	c.sweeps <- swept
+	wait(t, swept)
+}
+
+// TestOneHolds: of two processes only the first to ask holds a key; the other hears the result of its run, also one
+// that comes later, and may have the key once it was withdrawn or its window is over.
+func TestOneHolds(t *testing.T) {
+	dir, now := t.TempDir(), &clock{now: start}
+	old, next := open(t, dir, now.Now, nil), open(t, dir, now.Now, nil)
+	if n := old.Others(standin.Patience); n != 1 {
+		t.Errorf("the old process sees %d others", n)
+	}
+	a, b, w := booking("a"), booking("b"), booking("w")
+	for _, k := range []node.Booking{a, b, w} {
+		if err := begin(t, old, k); err != nil {
+			t.Fatal(err)
+		}
+		if err := begin(t, next, k); !errors.Is(err, node.ErrTaken) {
+			t.Fatalf("two hold %s: %v", k.Key, err)
+		}
+	}
+	other := a
+	if other.Class = "search"; begin(t, next, other) != nil {
+		t.Error("the same key of another class is not free")
+	}
+	end(t, old, a, "visit 1")
+	if got, ok := next.Find(a); !ok || !got.Ended || !got.Served || string(got.Result) != "visit 1" || got.Front != "resp" || got.Digest != a.Digest {
+		t.Errorf("the result of the other process: %+v, %v", got, ok)
+	}
+	heard := make(chan string, 2)
+	for _, k := range []node.Booking{b, w} {
+		if got, ok := next.Find(k); !ok || got.Ended {
+			t.Fatalf("%s runs elsewhere: %+v, %v", k.Key, got, ok)
+		}
+		next.Await(k, func() { heard <- k.Key })
+	}
+	end(t, old, b, "visit 2")
+	if k := wait(t, heard); k != "b" {
+		t.Errorf("heard of %s", k)
 	}
-	if err := next.Began(b, func(error) { t.Error("done called for a key taken") }); !errors.Is(err, node.ErrTaken) {
-		t.Fatalf("the second process began a key that the first holds: %v", err)
+	old.Withdraw(w)
+	if k := wait(t, heard); k != "w" {
+		t.Errorf("heard of %s", k)
 	}
-	if !next.Held(b) {
-		t.Error("the other process does not see the claim")
+	if _, ok := next.Find(w); ok || begin(t, next, w) != nil {
+		t.Error("a withdrawn key is not free")
 	}
-	other := b
-	other.Class = "search" // the same key in another class is another booking
-	if err := next.Begin(other, done); err != nil || <-done != nil {
-		t.Fatalf("another class: %v", err)
+	now.move(11*time.Second + 1)
+	if _, ok := next.Find(a); ok || begin(t, next, a) != nil {
+		t.Error("a key whose window is over is not free")
 	}
-	next.Withdraw(other)
-	if next.Held(other) {
-		t.Error("a withdrawn claim is still held")
+}
+
+// TestDeath: what a process held without an end when it died is over, and was not served; who waits for it hears. What
+// it told stands for its window; then its files are gone.
+func TestDeath(t *testing.T) {
+	dir, now := t.TempDir(), &clock{now: start}
+	old, next := open(t, dir, now.Now, nil), open(t, dir, now.Now, nil)
+	if err := errors.Join(begin(t, old, booking("a")), begin(t, old, booking("b"))); err != nil {
+		t.Fatal(err)
 	}
-	old.Ended(b)
-	if left, err := next.Sweep(); err != nil || left != 1 {
-		t.Fatalf("before the window ends: %d left, %v", left, err)
+	end(t, old, booking("b"), "visit")
+	heard := make(chan struct{})
+	if _, ok := next.Find(booking("a")); !ok {
+		t.Fatal("not held")
 	}
-	now = now.Add(11*time.Second + time.Millisecond)
-	if left, err := old.Sweep(); err != nil || left != 0 {
-		t.Fatalf("after the window and its spare: %d left, %v", left, err)
+	next.Await(booking("a"), func() { close(heard) })
+	old.Close()
+	settle(t, next)
+	wait(t, heard)
+	third := open(t, dir, now.Now, nil)
+	for _, c := range []*Claims{next, third} {
+		if got, ok := c.Find(booking("a")); !ok || !got.Ended || got.Served {
+			t.Errorf("unknown end: %+v, %v", got, ok)
+		}
+		if got, ok := c.Find(booking("b")); !ok || string(got.Result) != "visit" {
+			t.Errorf("a result of the dead: %+v, %v", got, ok)
+		}
+		if err := begin(t, c, booking("a")); !errors.Is(err, node.ErrTaken) {
+			t.Errorf("a key that may have run: %v", err)
+		}
 	}
-	if err := next.Begin(b, done); err != nil || <-done != nil {
-		t.Fatalf("a key whose window is over: %v", err)
+	now.move(11*time.Second + 1)
+	settle(t, third)
+	settle(t, next)
+	left, _ := filepath.Glob(filepath.Join(dir, "*"+logSuffix))
+	alive, _ := filepath.Glob(filepath.Join(dir, "*"+aliveSuffix))
+	if s := next.Stats(); len(left) != 0 || len(alive) != 2 || s.Keys != 0 || s.Bytes != 0 {
+		t.Errorf("left: %v %v %+v", left, alive, s)
 	}
 }
 
-// TestUnwritableFolder: a folder that can't be written is an error of its own, not a key taken.
-func TestUnwritableFolder(t *testing.T) {
-	dir := t.TempDir()
-	c, err := Open(dir, time.Second, time.Now)
+// TestCutAndFlipped: a dead process's segment, cut at any byte or with any byte changed, stops nobody, and no key has a
+// result that is not its own; records after the damage still count.
+func TestCutAndFlipped(t *testing.T) {
+	dir, now := t.TempDir(), &clock{now: start}
+	old := open(t, dir, now.Now, nil)
+	keys := []string{"a", "b", "c"}
+	for _, k := range keys {
+		if err := begin(t, old, booking(k)); err != nil {
+			t.Fatal(err)
+		}
+		end(t, old, booking(k), "visit "+k)
+	}
+	path := old.own[0].path
+	old.Close()
+	whole, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.Chmod(dir, 0o500); err != nil {
+	try := func(what string, text []byte, least int) {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := Open(Options{Dir: dir, Spare: time.Second, Now: now.Now, Limits: limits.ForClaims(64), Log: standin.Quiet})
+		if err != nil {
+			if len(text) >= 16 && string(text[:8]) == string(whole[:8]) {
+				t.Fatalf("%s: %v", what, err)
+			}
+			os.Remove(filepath.Join(dir, lockName)) // of another version, to the reader: said, and not joined
+			return
+		}
+		found := 0
+		for _, k := range keys {
+			got, ok := c.Find(booking(k))
+			if got.Served && string(got.Result) != "visit "+k {
+				t.Fatalf("%s: key %s has result %q", what, k, got.Result)
+			}
+			if ok && got.Served {
+				found++
+			}
+		}
+		if found < least {
+			t.Fatalf("%s: %d results, at least %d stand whole", what, found, least)
+		}
+		c.Close()
+	}
+	for i := range whole {
+		try(fmt.Sprintf("cut to %d", i), whole[:i], 0)
+		if i >= 16 {
+			b := append([]byte(nil), whole...)
+			b[i] ^= 0x41
+			try(fmt.Sprintf("byte %d changed", i), b, 2)
+		}
+	}
+	try("whole", whole, 3)
+}
+
+// TestBounds: beyond three quarters of the bytes results are left out; at all of them no key is taken, and the error
+// says why. What expires makes room. A folder that can't be written is an error of its own, not a key taken.
+func TestBounds(t *testing.T) {
+	dir, now := t.TempDir(), &clock{now: start}
+	small := func(l *limits.Claims) { l.Bytes, l.Segment = 4000, 1000 }
+	c, next := open(t, dir, now.Now, small), open(t, dir, now.Now, small)
+	var full error
+	n := 0
+	for ; full == nil && n < 100; n++ {
+		b := booking(fmt.Sprint(n))
+		if full = begin(t, c, b); full == nil {
+			end(t, c, b, strings.Repeat("x", 200))
+		}
+	}
+	if s := c.Stats(); !errors.Is(full, ErrFull) || s.Bytes > 4000+400 || s.Own < 3 {
+		t.Fatalf("after %d keys: %v, %+v", n, full, s)
+	}
+	first, _ := next.Find(booking("0"))
+	last, ok := next.Find(booking(fmt.Sprint(n - 2)))
+	if !first.Kept || !ok || !last.Ended || last.Kept {
+		t.Errorf("the first result %v, the last %v %v", first.Kept, last.Ended, last.Kept)
+	}
+	now.move(11*time.Second + 1)
+	settle(t, c)
+	b := booking("later")
+	if b.Arrived = now.Now(); begin(t, c, b) != nil {
+		t.Error("no room once all has expired")
+	}
+	long := booking("long")
+	long.Arrived = now.Now()
+	if err := begin(t, c, long); err != nil {
 		t.Fatal(err)
 	}
-	defer os.Chmod(dir, 0o700)
-	if os.Getuid() == 0 {
-		t.Skip("the superuser writes anywhere")
+	end(t, c, long, strings.Repeat("x", 20<<10)) // beyond what is kept of one result
+	if got, ok := next.Find(long); !ok || !got.Ended || got.Kept {
+		t.Errorf("a result too long: %+v, %v", got.Kept, ok)
 	}
-	err = c.Began(node.Booking{Key: "k", Class: "c", Arrived: time.Now()}, func(error) {})
-	if err == nil || errors.Is(err, node.ErrTaken) {
-		t.Errorf("got %v", err)
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	now.move(time.Hour)
+	if err := begin(t, c, booking("z")); err == nil || errors.Is(err, node.ErrTaken) {
+		t.Errorf("without a folder: %v", err)
 	}
 }
 
-// Begin is Began with done into a channel.
-func (c *Claims) Begin(b node.Booking, done chan error) error {
-	return c.Began(b, func(err error) { done <- err })
+// child is one process of TestKilled: it claims keys in a random order, writes a line for each that it "runs", and the
+// result of each that another ran, until it is killed.
+func child(dir, log string, seed uint64) {
+	now := func() time.Time { return start }
+	c, err := Open(Options{Dir: dir, Spare: time.Second, Now: now, Limits: limits.ForClaims(64), Log: standin.Quiet})
+	if err != nil {
+		panic(err)
+	}
+	out, err := os.OpenFile(log, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println("ready")
+	for _, k := range rand.New(rand.NewPCG(seed, 0)).Perm(killedKeys) {
+		b := booking(fmt.Sprint(k))
+		done := make(chan error, 1)
+		if err := c.Began(b, func(err error) { done <- err }); err != nil {
+			panic(err)
+		}
+		switch err := <-done; {
+		case err == nil:
+			fmt.Fprintf(out, "ran %d\n", k)
+			b.Ended, b.Served, b.Kept, b.Result = true, true, true, []byte("visit "+b.Key)
+			c.Ended(b)
+		case errors.Is(err, node.ErrTaken):
+			if got, ok := c.Find(b); ok && got.Served {
+				fmt.Fprintf(out, "heard %d %s\n", k, got.Result)
+			}
+		default:
+			panic(err)
+		}
+	}
+	c.Close()
+	fmt.Println("done")
+}
+
+const killedKeys = 400
+
+func TestMain(m *testing.M) {
+	if dir := os.Getenv("CLAIMS_CHILD"); dir != "" {
+		var seed uint64
+		fmt.Sscan(os.Getenv("CLAIMS_SEED"), &seed)
+		child(dir, os.Getenv("CLAIMS_LOG"), seed)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// TestKilled: three real processes want the same keys at once, and two of them are killed at seeded points. No key
+// runs twice, and whoever hears of a run in another process hears its own result.
+func TestKilled(t *testing.T) {
+	for seed := range uint64(4) {
+		dir := t.TempDir()
+		random := rand.New(rand.NewPCG(seed, 1))
+		var logs []string
+		var children []*exec.Cmd
+		var said []*bufio.Scanner
+		for i := range 3 {
+			log := filepath.Join(dir, fmt.Sprint("log", i))
+			cmd := exec.Command(os.Args[0])
+			cmd.Env = append(os.Environ(), "CLAIMS_CHILD="+filepath.Join(dir, "keys"), "CLAIMS_LOG="+log, fmt.Sprint("CLAIMS_SEED=", seed*3+uint64(i)))
+			out, err := cmd.StdoutPipe()
+			if err == nil {
+				err = cmd.Start()
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			logs, children, said = append(logs, log), append(children, cmd), append(said, bufio.NewScanner(out))
+		}
+		for i := range 2 { // as soon as it has run so many
+			said[i].Scan()
+			for lines, at := 0, random.IntN(120); lines < at; {
+				text, _ := os.ReadFile(logs[i])
+				if lines = strings.Count(string(text), "\n"); strings.Count(string(text), "\n") >= killedKeys {
+					break
+				}
+			}
+			children[i].Process.Kill()
+		}
+		for said[2].Scan() {
+		}
+		ran := map[string]int{}
+		for i, cmd := range children {
+			if err := cmd.Wait(); i == 2 && err != nil {
+				t.Fatalf("seed %d: the process that was not killed: %v", seed, err)
+			}
+			text, _ := os.ReadFile(logs[i])
+			for _, line := range strings.Split(string(text), "\n") {
+				words := strings.SplitN(line, " ", 3)
+				switch {
+				case words[0] == "ran" && len(words) == 2:
+					ran[words[1]]++
+				case words[0] == "heard" && words[2] != "visit "+words[1]:
+					t.Errorf("seed %d: key %s was answered %q", seed, words[1], words[2])
+				}
+			}
+		}
+		for k, n := range ran {
+			if n != 1 {
+				t.Errorf("seed %d: key %s ran %d times", seed, k, n)
+			}
+		}
+		// At most one claim of each killed process was not followed by its run.
+		if len(ran) < killedKeys-2 {
+			t.Errorf("seed %d: %d of %d keys ran", seed, len(ran), killedKeys)
+		}
+	}
+}
+
+// BenchmarkClaim is the cost of a claim and its result with so many keys of another process standing.
+func BenchmarkClaim(b *testing.B) {
+	for _, keys := range []int{100, 10_000, 100_000} {
+		b.Run(fmt.Sprint(keys, " keys"), func(b *testing.B) {
+			dir, now := b.TempDir(), &clock{now: start}
+			room := func(l *limits.Claims) { l.Bytes, l.Segment = 1<<30, 4<<20 }
+			other, c := open(b, dir, now.Now, room), open(b, dir, now.Now, room)
+			for i := range keys {
+				k := booking(fmt.Sprint("other", i))
+				if err := begin(b, other, k); err != nil {
+					b.Fatal(err)
+				}
+				k.Ended, k.Served, k.Kept, k.Result = true, true, true, make([]byte, 200)
+				other.Ended(k)
+			}
+			settle(b, other)
+			settle(b, c)
+			b.ResetTimer()
+			for i := range b.N {
+				k := booking(fmt.Sprint("own", i))
+				if _, held := c.Find(k); held {
+					b.Fatal("held")
+				}
+				if err := begin(b, c, k); err != nil {
+					b.Fatal(err)
+				}
+				k.Ended, k.Served, k.Kept, k.Result = true, true, true, make([]byte, 200)
+				c.Ended(k)
+			}
+			b.StopTimer()
+			settle(b, c)
+			began := time.Now()
+			settle(b, c)
+			b.ReportMetric(float64(time.Since(began).Microseconds()), "us/sweep")
+		})
+	}
 }
--- /dev/null
+++ b/internal/claims/holding/holding_test.go
@@ -0,0 +1,71 @@
+package holding
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sloehitch/internal/claims/format"
+)
+
+// TestAnyOrder: whatever mix of the processes' orders records are read in, the table comes to what they say in the
+// order in which they were told.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const processes, keys = 3, 3
+		holder := map[byte]int{} // who holds a key
+		told := map[int][]format.Record{}
+		want := map[byte]format.Record{}
+		for seq := uint64(1); seq <= uint64(rapid.IntRange(1, 30).Draw(t, "records")); seq++ {
+			key := byte(rapid.IntRange(1, keys).Draw(t, "key"))
+			r := format.Record{Seq: seq, ID: format.ID{key}, Ends: 10}
+			owner, held := holder[key]
+			switch {
+			case !held:
+				owner = rapid.IntRange(1, processes).Draw(t, "owner")
+				holder[key], r.Kind = owner, format.Began
+			case want[key].Kind == format.Ended:
+				continue
+			case rapid.Bool().Draw(t, "withdrawn"):
+				delete(holder, key)
+				r.Kind = format.Withdrawn
+			default:
+				r.Kind = format.Ended
+			}
+			want[key] = r
+			told[owner] = append(told[owner], r)
+		}
+		table := New()
+		for len(told) > 0 {
+			owner := rapid.SampledFrom(sortedKeys(told)).Draw(t, "read")
+			table.Apply(owner, told[owner][0], Place{Segment: owner})
+			if told[owner] = told[owner][1:]; len(told[owner]) == 0 {
+				delete(told, owner)
+			}
+		}
+		for key, r := range want {
+			c, ok := table.Find(format.ID{key}, 10)
+			if ok != (r.Kind != format.Withdrawn) || ok && (c.Kind != r.Kind || c.Owner != holder[key]) {
+				t.Fatalf("key %d: %+v %v, want %+v by %d", key, c, ok, r, holder[key])
+			}
+			if _, ok := table.Find(format.ID{key}, 11); ok {
+				t.Fatalf("key %d is held after its end", key)
+			}
+		}
+		for segment := range processes + 1 {
+			table.Forget(segment)
+		}
+		if table.Len() != 0 {
+			t.Fatalf("%d keys are left of forgotten segments", table.Len())
+		}
+	})
+}
+
+func sortedKeys(m map[int][]format.Record) (keys []int) {
+	for k := range 4 {
+		if len(m[k]) > 0 {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -63,6 +63,7 @@
 	DueShare              float64       // of the grace after a due time at which the guard answers
 	GraceSpare            time.Duration // before the end of the drain's grace at which callers are sent elsewhere
 	KillSpare             time.Duration // before the kill at which all that is left is answered
+	Others                time.Duration // for a look at which other processes of this node live
 	Sweep                 time.Duration // between looks for what has expired
 	Orphan                time.Duration // after its due time when a run that never reported is written off
 	Totals                time.Duration // between log lines with the counts
@@ -93,6 +94,24 @@
 	Rest      time.Duration // between a compaction's flushes
 }
 
+// Claims bounds what the processes of one node tell each other of keys.
+type Claims struct {
+	Bytes      int64         // of all segments together; beyond three quarters of it results are left out
+	Segment    int64         // bytes after which a segment is followed by a new one
+	SegmentAge time.Duration // or this long after its beginning, or a sixteenth of the widest window where that is longer
+	Result     int           // bytes of a result that is told
+	Queue      int           // records that wait to be told
+	Look       time.Duration // between looks at what others told, while somebody waits for it
+	LogEvery   time.Duration // between log lines on one kind of trouble
+}
+
+// ForClaims derives the limits of claims from the platform's cap on memory: $TMPDIR counts as memory.
+func ForClaims(memoryMB int) Claims {
+	memory := int64(max(memoryMB, 32)) << 20
+	return Claims{Bytes: memory / 12, Segment: 512 << 10, SegmentAge: 5 * time.Second, Result: 16 << 10, Queue: 16384,
+		Look: 5 * time.Millisecond, LogEvery: time.Second}
+}
+
 // ForLedger derives a ledger's limits from the memory that its keys may take, in bytes.
 func ForLedger(index int64) Ledger {
 	return Ledger{
@@ -128,6 +147,6 @@
 		RecordWait: time.Second, RecordBack: time.Second,
 		KeySlack: 200 * time.Millisecond, DueShare: 0.5, GraceSpare: 50 * time.Millisecond, KillSpare: 150 * time.Millisecond,
 		OpsCall: 5 * time.Second, OpsSeats: 32, OpsLine: 256,
-		Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
+		Others: 200 * time.Millisecond, Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
 }
--- /dev/null
+++ b/internal/node/abroad_test.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sloehitch/internal/gate"
+	"sloehitch/logic"
+)
+
+// shared is a journal that another process writes too: what it holds, a test says.
+type shared struct {
+	*journal
+	held  map[string]Booking
+	waits []func()
+}
+
+func (s *shared) Find(b Booking) (Booking, bool) {
+	h, ok := s.held[b.Key]
+	return h, ok
+}
+func (s *shared) Await(b Booking, done func()) { s.waits = append(s.waits, done) }
+
+// resolve says what became of a key that the other process held, and wakes who waits.
+func (s *shared) resolve(key string, b *Booking) {
+	if delete(s.held, key); b != nil {
+		s.held[key] = *b
+	}
+	waits := s.waits
+	s.waits = nil
+	for _, done := range waits {
+		done()
+	}
+}
+
+// TestAbroad: a try of a key that another process holds is not run here; it hears what came of that run, at once or when
+// it ends, and fails where that can't be known by its due time. Where nothing ran there it is as new.
+func TestAbroad(t *testing.T) {
+	const book = 1
+	same := digest("book", &Request{})
+	running := Booking{Digest: same}
+	ended := Booking{Digest: same, Ended: true, Served: true, Kept: true, Result: []byte("r")}
+	lost := Booking{Digest: same, Ended: true, Served: true}
+	for _, c := range []struct {
+		name string
+		play func(b *bench, s *shared)
+		work string
+		want string
+	}{
+		{"it ran there", func(b *bench, s *shared) {
+			s.held["k"] = ended
+			b.submit("a", book, "k", 0)
+		}, "", "[served r] [] []"},
+		{"it ran there and left no result", func(b *bench, s *shared) {
+			s.held["k"] = lost
+			b.submit("a", book, "k", 0)
+		}, "", "[failed ] [] []"},
+		{"another body under its key", func(b *bench, s *shared) {
+			s.held["k"] = Booking{Ended: true, Served: true, Kept: true, Result: []byte("r")}
+			b.submit("a", book, "k", 0)
+		}, "", "[failed ] [] []"},
+		{"it runs there: two wait", func(b *bench, s *shared) {
+			s.held["k"] = running
+			b.submit("a", book, "k", 0)
+			b.submit("b", book, "k", 0)
+			s.resolve("k", &running) // nothing new
+			s.resolve("k", &ended)
+		}, "", "[served r] [served r] []"},
+		{"it is withdrawn there, and runs here", func(b *bench, s *shared) {
+			s.held["k"] = running
+			b.submit("a", book, "k", 0)
+			s.resolve("k", nil)
+			b.decide("a", gate.Run)
+			s.done["a"](nil)
+			b.Ended("a", logic.OK, 0, []byte("own"))
+		}, "began a, start a, ended(true own) a", "[served own] [] []"},
+		{"its caller leaves, then it ends there", func(b *bench, s *shared) {
+			s.held["k"] = running
+			b.submit("a", book, "k", 0)
+			b.Gone("a")
+			s.resolve("k", &ended)
+		}, "", "[] [] []"},
+		{"given up, then it ends there", func(b *bench, s *shared) {
+			s.held["k"] = running
+			b.submit("a", book, "k", 0)
+			b.GiveUp("a")
+			s.resolve("k", &ended)
+		}, "", "[failed ] [] []"},
+		{"the other process was first by a moment, for both tries here", func(b *bench, s *shared) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			b.submit("b", book, "k", 0)
+			b.decide("b", gate.Join)
+			s.held["k"] = running
+			s.done["a"](ErrTaken)
+			s.resolve("k", &ended)
+		}, "began a", "[served r] [served r] []"},
+		{"the other was first and has ended", func(b *bench, s *shared) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			s.held["k"] = ended
+			s.done["a"](ErrTaken)
+		}, "began a", "[served r] [] []"},
+		{"the other was first, its caller here is gone", func(b *bench, s *shared) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			b.Gone("a")
+			s.held["k"] = running
+			s.done["a"](ErrTaken)
+			s.resolve("k", &ended)
+		}, "began a", "[] [] []"},
+		{"the other was first and lets go at once", func(b *bench, s *shared) {
+			b.submit("a", book, "k", 0)
+			b.decide("a", gate.Run)
+			s.done["a"](ErrTaken)
+			b.decide("a", gate.Run)
+			s.done["a"](nil)
+			b.Ended("a", logic.OK, 0, []byte("own"))
+		}, "began a, began a, start a, ended(true own) a", "[served own] [] []"},
+		{"refused by the module as the other begins", func(b *bench, s *shared) {
+			b.submit("a", book, "k", 0)
+			s.held["k"] = running
+			b.decide("a", gate.Refuse)
+		}, "", "[failed ] [] []"},
+		{"all that waits is answered before the kill", func(b *bench, s *shared) {
+			s.held["k"] = running
+			b.submit("a", book, "k", 0)
+			b.Leave(time.Hour, true)
+			b.answerAll()
+		}, "", "[failed ] [] []"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, j := journalBench(t)
+			s := &shared{journal: j, held: map[string]Booking{}}
+			b.opts.Journal = s
+			c.play(b, s)
+			if got := b.work.String(); got != c.work {
+				t.Errorf("asked for %q, want %q", got, c.work)
+			}
+			if got := fmt.Sprint(b.answers["a"], " ", b.answers["b"], " ", b.answers["c"]); got != c.want {
+				t.Errorf("answers %s, want %s", got, c.want)
+			}
+			if b.Owed() != 0 || len(b.byID) != 0 {
+				t.Errorf("%d owed, %d in hand at the end", b.Owed(), len(b.byID))
+			}
+		})
+	}
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -25,8 +25,8 @@
 
 // Journal keeps bookings beyond the life of the process. Its methods must not block.
 type Journal interface {
-	// Began makes a booking durable and calls done from another goroutine once it is, or can't be. Where it returns an error
-	// nothing was written and done is not called.
+	// Began makes a booking durable and calls done from another goroutine once it is, or can't be (ErrTaken: see Sharer). Where
+	// it returns an error nothing was written and done is not called.
 	Began(b Booking, done func(error)) error
 	// Ended notes that the run is over.
 	Ended(b Booking)
@@ -69,37 +69,12 @@
 	n.counts.Restored++
 }
 
-// Holder is a Journal that knows of keys that another process holds.
-type Holder interface {
-	// Held tells whether another process holds the key of b: it may have run there. It must not block for long.
-	Held(b Booking) bool
-}
-
-// heldElsewhere tells whether the journal knows r's key to be held by another process.
-func (n *Node) heldElsewhere(r *request) bool {
-	h, ok := n.opts.Journal.(Holder)
-	if !ok {
-		return false
-	}
-	if e := n.keys.entries[r.Key]; e != nil && e.ran {
-		return false // held here
-	}
-	return h.Held(n.booking(r))
-}
-
-// ErrTaken is what a Journal's Began returns where another process holds the key: the key may have run there, so a
-// try of it here is neither run nor refused.
-var ErrTaken = errors.New("the key is held by another process")
-
 // record asks for a booking's start to be made durable; the run is started when that is done. A start that has to
 // wait too long is taken back.
 func (n *Node) record(r *request) {
 	r.stage = starting
 	num := r.num
-	if err := n.opts.Journal.Began(n.booking(r), func(err error) { n.recorded(num, err) }); errors.Is(err, ErrTaken) {
-		n.taken(r)
-		return
-	} else if err != nil {
+	if err := n.opts.Journal.Began(n.booking(r), func(err error) { n.recorded(num, err) }); err != nil {
 		n.unrecorded(r, err)
 		return
 	}
@@ -115,21 +90,14 @@
 	if r == nil || r.stage != starting {
 		return // taken back, and withdrawn
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, ErrTaken):
+		n.taken(r)
+	case err != nil:
 		n.unrecorded(r, err)
-		return
+	default:
+		n.start(r)
 	}
-	n.start(r)
-}
-
-// taken fails a booking whose key another process holds. Its claim is that process's, so nothing is withdrawn.
-func (n *Node) taken(r *request) {
-	r.stage = held
-	if e := n.keys.entries[r.Key]; e != nil && e.owner == r {
-		e.ran = false
-	}
-	n.settle(r, Answer{Kind: Failed})
-	n.finish(r, logic.Moot, 0, nil)
 }
 
 // unrecorded refuses a booking that could not be made durable in time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 	joined                // it waits for the result of another try
 	starting              // it waits for its start to be on record; nothing of it runs
 	runs                  // its run was asked for and has not ended
+	abroad                // it waits for what comes of its key's run in another process; the module does not know it
 	ended
 )
 
@@ -129,6 +130,7 @@
 type Counts struct {
 	Read, Served, Refused, Failed, Gone, Late, Joined, Ran int
 	Restored, Unrecorded                                   int // bookings of an earlier process; starts that could not be recorded
+	Abroad, Shared                                         int // tries that waited for another process's run; answered with what came of one
 }
 
 // Node owns all requests in hand.
@@ -300,6 +302,9 @@
 	}
 	n.byID[q.ID] = r
 	r.guard = time.AfterFunc(r.due.Sub(now)+n.grace(), func() { n.overdue(r) })
+	if r.Key != "" && !n.keys.ran(r) && n.abroad(r) {
+		return
+	}
 	n.enter(r, now)
 }
 
@@ -358,6 +363,15 @@
 	r.settled, r.gone = true, true
 	n.counts.Gone++
 	n.closed(r)
+	n.forsaken(r)
+}
+
+// forsaken tells the module that nobody waits for a request any more, and drops it if nothing of it runs.
+func (n *Node) forsaken(r *request) {
+	if r.stage == abroad {
+		n.leave(r)
+		return
+	}
 	n.opts.Gate.Report(gate.Gone(r.num))
 	if r.stage == held || r.stage == joined {
 		n.drop(r)
@@ -378,7 +392,7 @@
 	if r.settled {
 		return
 	}
-	if a.Kind == Refused && r.Key != "" && (n.keys.ran(r) || n.heldElsewhere(r)) {
+	if a.Kind == Refused && r.Key != "" && (n.keys.ran(r) || n.heldAbroad(r)) {
 		a = Answer{Kind: Failed} // it did run here: a refusal would send it to run elsewhere too
 	}
 	if r.begun {
@@ -464,20 +478,20 @@
 		kind = Refused
 	}
 	n.settle(r, Answer{Kind: kind})
-	n.opts.Gate.Report(gate.Gone(r.num))
-	if r.stage == held || r.stage == joined {
-		n.drop(r)
-	}
+	n.forsaken(r)
 }
 
-// Leave is the notice that the process is to be stopped after the given time.
-func (n *Node) Leave(left time.Duration) {
+// Leave is the notice that the process is to be stopped after the given time. The module does not hear of it where it
+// is quiet: another process of this node goes on, so callers are not to be kept away.
+func (n *Node) Leave(left time.Duration, quiet bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.leaving.IsZero() {
 		n.leaving = n.opts.Clock.Now()
 		n.kill = n.leaving.Add(left)
-		n.opts.Gate.Report(gate.Leaving(left))
+		if !quiet {
+			n.opts.Gate.Report(gate.Leaving(left))
+		}
 		time.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -166,7 +166,7 @@
 			b.decide("b", gate.Run)
 		}, "start a", "[served r] [served r] []"},
 		{"too late after the notice to leave", func(b *bench) {
-			b.Leave(time.Minute)
+			b.Leave(time.Minute, false)
 			b.clock.now = b.clock.now.Add(3 * time.Second)
 			b.submit("a", 0, "", -1500*time.Millisecond)
 			b.submit("b", 0, "", 0)
@@ -179,7 +179,7 @@
 			b.submit("c", book, "l", 0)
 			b.decide("b", gate.Run)
 			b.Gone("c")
-			b.Leave(time.Minute)
+			b.Leave(time.Minute, false)
 			b.answerAll()
 		}, "start b", "[refused ] [failed ] []"},
 		{"a call whose request is over is given up", func(b *bench) {
