Move a replaced process's callers to the new one at once, and send none away

At fault: leave() in cmd/sloehitch/serve.go, which waited for the grace, and the module's word of a drain. Ruled out: keyed failures (fail% 0.1), cold estimates (T_m is learned within 20 runs, 0.5 s), requests turned back at the door (0).

Change: internal/handover.Depart decides how to leave, from what the process sees; one that is replaced shuts and asks callers to close at once, and tells neither the module nor the registry. That another process lives is read from the claims' folder; without one it leaves as before. Not taken: asking callers bit by bit (each connection costs its handshake once either way).

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -715,6 +715,8 @@
 	work := func(*standin.Job) (string, string) { return "OK", "r" }
 	runtimes := []*standin.Runtime{standin.NewRuntime(t, work), standin.NewRuntime(t, work)}
 	var conns []*standin.Balancer
+	var stops []chan os.Signal
+	stopped := make(chan error, len(runtimes))
 	for _, rt := range runtimes {
 		p, err := config.Parse([]byte(standin.Config("127.0.0.1:1", rt.Address, "", ample)))
 		if err != nil {
@@ -729,7 +731,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		go d.run(make(chan os.Signal, 1))
+		stop := make(chan os.Signal, 1)
+		stops = append(stops, stop)
+		go func() { stopped <- d.run(stop) }()
 		<-rt.Syncs
 		for range 3 {
 			b := standin.Dial(t, ln.Addr().String())
@@ -767,9 +771,23 @@
 	if n := runtimes[0].Runs("a") + runtimes[1].Runs("a"); n != 1 || served != len(conns) {
 		t.Errorf("ran %d times, %d of %d tries served; want one run, heard by all", n, served, len(conns))
 	}
+	// Told to leave while the other lives, it asks its callers to close at once, and is well to the last: the node goes on.
+	stops[0] <- syscall.SIGTERM
+	for _, b := range conns[:3] {
+		if got := b.Read(); len(got) < 2 || got[0] != "0" || got[1] != "FIN" {
+			t.Errorf("a caller of the process that leaves hears %q first", got)
+		}
+	}
+	conns[0].Send(standin.Array("PING", "99"))
+	if got := conns[0].Read(); len(got) < 2 || got[1] != "GREEN" {
+		t.Errorf("health while replaced: %q", got)
+	}
 	for _, b := range conns {
 		b.Close()
 	}
+	if err := <-stopped; err != nil {
+		t.Errorf("it left with %v", err)
+	}
 }
 
 // TestOpsInACrowd: with memory and descriptors halved and the front full of connections that never finish a
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -28,6 +28,7 @@
 	"sloehitch/internal/directory"
 	"sloehitch/internal/endpoint"
 	"sloehitch/internal/gate"
+	"sloehitch/internal/handover"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
@@ -101,6 +102,7 @@
 	applied   atomic.Int64                    // configuration files taken over at SIGHUP
 	rejected  atomic.Int64                    // and turned down
 	leaving   atomic.Bool                     // the notice to leave has come
+	quiet     atomic.Bool                     // and another process of this node goes on
 	failed    chan error
 
 	link  *runtime.Link     // nil without a runtime
@@ -451,7 +453,7 @@
 	case store.Closed:
 		closed := slices.Contains(store.Items(value), d.name)
 		d.closed.Store(closed)
-		d.pulse.Close(closed || d.leaving.Load())
+		d.pulse.Close(closed || d.leaving.Load() && !d.quiet.Load())
 	case store.UwsgiServers:
 		if d.servers == nil {
 			return
@@ -503,20 +505,26 @@
 	}
 }
 
-// leave carries out the notice to leave. Callers hear of it seconds later, so what comes within the grace is still
-// taken; then they are sent elsewhere, what is in hand goes on, and the end comes when nothing is owed and the callers
-// have closed, or just before the kill.
+// leave carries out the notice to leave, as handover.Depart says. Callers hear of it seconds later, so what comes within
+// the grace is still taken; then they are sent elsewhere, what is in hand goes on, and the end comes when nothing is
+// owed and the callers have closed, or just before the kill.
 func (d *daemon) leave() {
-	stop := d.platform.Stop()
+	stop, sight := d.platform.Stop(), handover.Sight{Grace: time.Duration(d.platform.Logic.DrainGrace) * time.Microsecond, Spare: d.limits.GraceSpare}
 	if os.Getenv("GW_ACCEPT_FD") != "" {
-		stop = d.platform.StopReplaced() // the platform holds the listener: a new process replaces this one
+		stop, sight.Inherited = d.platform.StopReplaced(), true // the platform holds the listener: a new process replaces this one
 	}
-	d.log.Info("leaving", "stop", stop)
+	if d.claims != nil {
+		sight.Others = d.claims.Others(d.limits.Others)
+	}
+	sight.Stop = stop
+	plan := handover.Depart(sight)
+	d.log.Info("leaving", "stop", stop, "others", sight.Others, "quiet", plan.Quiet)
 	kill := time.After(stop - d.limits.KillSpare/2)
-	d.node.Leave(stop, false)
+	d.node.Leave(stop, plan.Quiet)
+	d.quiet.Store(plan.Quiet)
 	d.leaving.Store(true)
-	d.pulse.Close(true)
-	grace := time.After(min(time.Duration(d.platform.Logic.DrainGrace)*time.Microsecond-d.limits.GraceSpare, stop/2))
+	d.pulse.Close(!plan.Quiet || d.closed.Load())
+	grace := time.After(plan.Shut)
 	look := time.NewTicker(d.limits.RetryLeast)
 	defer look.Stop()
 	shut := false
