Begin with what the replaced process learned, and share the node by what each has in hand

Need: a new process began without run times, limit and shares, and two processes each planned with all cores, memory and connections of the node for the time that both live.

Each process leaves what it has in hand in the claims' folder every 50 ms; handover.Share gives cores and memory for requests by what each has in hand, its own memory by halves, connections as the others leave them.

--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -33,6 +33,7 @@
 	State    stateCmd    `cmd:"" help:"Show or change the operators' state, on all members of the store."`
 	Ledger   ledgerCmd   `cmd:"" help:"Look into a ledger's folder, check it, copy it, mend it."`
 	Ops      opsCmd      `cmd:"" help:"Make an operators' call to a running daemon: readyz, telemetry, evacuate or activate."`
+	Handover handoverCmd `cmd:"" help:"Look at what a process leaves for the one that replaces it."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -715,6 +715,7 @@
 	work := func(*standin.Job) (string, string) { return "OK", "r" }
 	runtimes := []*standin.Runtime{standin.NewRuntime(t, work), standin.NewRuntime(t, work)}
 	var conns []*standin.Balancer
+	var daemons []*daemon
 	var stops []chan os.Signal
 	stopped := make(chan error, len(runtimes))
 	for _, rt := range runtimes {
@@ -732,7 +733,7 @@
 			t.Fatal(err)
 		}
 		stop := make(chan os.Signal, 1)
-		stops = append(stops, stop)
+		daemons, stops = append(daemons, d), append(stops, stop)
 		go func() { stopped <- d.run(stop) }()
 		<-rt.Syncs
 		for range 3 {
@@ -771,6 +772,24 @@
 	if n := runtimes[0].Runs("a") + runtimes[1].Runs("a"); n != 1 || served != len(conns) {
 		t.Errorf("ran %d times, %d of %d tries served; want one run, heard by all", n, served, len(conns))
 	}
+	// The next process would take what this one has learned, and sees who holds what.
+	daemons[0].leaveLearned(false)
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(standin.Config("127.0.0.1:1", runtimes[0].Address, "", ample)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var shown strings.Builder
+	if err := (&handoverShowCmd{Config: file, Dir: os.TempDir()}).print(&shown); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"would be taken\n", "run time 1.0 ms of 1 runs", "lives: 1 segments", "1 keys, 0 of them run"} {
+		if !strings.Contains(shown.String(), want) {
+			t.Errorf("handover show lacks %q:\n%s", want, &shown)
+		}
+	}
+	if l := daemons[1].learned(time.Now()); l == nil || l.Classes["book"].Run.N != 1 {
+		t.Errorf("a process that starts now learns %+v", l)
+	}
 	// Told to leave while the other lives, it asks its callers to close at once, and is well to the last: the node goes on.
 	stops[0] <- syscall.SIGTERM
 	for _, b := range conns[:3] {
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"runtime/debug"
 	"slices"
 	"strconv"
@@ -81,8 +80,10 @@
 	deploy   atomic.Pointer[config.Deploy] // our own settings, as last read
 	name     string
 	limits   limits.Limits
+	means    handover.Means // what this process takes of the node's; of the goroutine that runs
 	log      *slog.Logger
 
+	gate      *gate.Gate
 	node      *node.Node
 	front     *resp.Front
 	uwsgi     *uwsgi.Front // nil where it is off
@@ -123,11 +124,11 @@
 // start wires the parts and sets them going.
 func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
 	p := l.platform
-	d := &daemon{platform: p, name: p.Name, limits: lim, log: log, failed: make(chan error, 4),
+	d := &daemon{platform: p, name: p.Name, limits: lim, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4),
 		pulse: directory.New(p.Name, p.Lookup, lim, log)}
 	d.deploy.Store(l.deploy)
 	clock := systemClock{}
-	gateOptions := gate.Options{Seed: seed(p.Seed), Now: clock.Now, Patience: lim.Gauges}
+	gateOptions := gate.Options{Seed: seed(p.Seed), Now: clock.Now, Patience: lim.Gauges, Learned: d.learned(clock.Now())}
 	var g *gate.Gate
 	if p.Runtime != "" {
 		d.link = runtime.New(runtime.Options{Address: p.Runtime, Meters: p.Names.Meters, Limits: lim, Log: log,
@@ -138,6 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.gate = g
 	options := node.Options{Settings: p.Logic, Gate: g, Clock: clock, Limits: lim, Log: log}
 	if p.Catalog != "" {
 		d.below = catalogue.New(p.Catalog, lim, log)
@@ -214,7 +216,7 @@
 	if o.Journal != nil || os.Getenv("GW_ACCEPT_FD") == "" {
 		return nil
 	}
-	dir := filepath.Join(os.TempDir(), "sloehitch-"+d.name+"-claims")
+	dir := claimsDir(os.TempDir(), d.name)
 	d.claims, err = claims.Open(claims.Options{Dir: dir, Spare: node.Spare(d.limits), Now: clock.Now,
 		Limits: limits.ForClaims(d.platform.Caps.MemoryMB), Log: d.log})
 	if err != nil {
@@ -472,6 +474,8 @@
 func (d *daemon) run(stop <-chan os.Signal) error {
 	sweep := time.NewTicker(d.limits.Sweep)
 	defer sweep.Stop()
+	share := time.NewTicker(d.limits.Share)
+	defer share.Stop()
 	keys := time.NewTicker(d.limits.KeyWatch)
 	defer keys.Stop()
 	totals := time.NewTicker(d.limits.Totals)
@@ -490,6 +494,9 @@
 			if d.claims != nil {
 				d.claims.Sweep()
 			}
+			d.leaveLearned(false)
+		case <-share.C:
+			d.share()
 		case <-keys.C:
 			for _, k := range d.keys {
 				k.Check()
@@ -518,6 +525,7 @@
 	}
 	sight.Stop = stop
 	plan := handover.Depart(sight)
+	d.leaveLearned(true)
 	d.log.Info("leaving", "stop", stop, "others", sight.Others, "quiet", plan.Quiet)
 	kill := time.After(stop - d.limits.KillSpare/2)
 	d.node.Leave(stop, plan.Quiet)
@@ -542,6 +550,7 @@
 			}
 			d.front.Leave()
 		case <-look.C:
+			d.share()
 			if shut {
 				d.front.Ask() // connections taken just before the listener closed are asked to close too; none is cut
 			}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -12,9 +12,12 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -475,6 +478,31 @@
 	}
 }
 
+// Exchange leaves a note of at most limits.Note bytes where the other processes find it, and returns those of the others
+// that live. One that has left none yet has an empty one. It costs a write, and a read for each other process.
+func (c *Claims) Exchange(note []byte) (others [][]byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	if _, err := c.folder.alive.WriteAt(note[:min(len(note), c.opts.Limits.Note)], 0); err != nil {
+		c.log.Warn("the other processes can't be told what this one has in hand", err)
+	}
+	c.look()
+	for name, number := range c.owners {
+		if c.dead[number] {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(c.folder.dir, name+aliveSuffix))
+		if err != nil {
+			continue // it has ended
+		}
+		others = append(others, text[:min(len(text), c.opts.Limits.Note)])
+	}
+	return others
+}
+
 // Others is the number of other processes of this node that live, as of a look that may take as long as wait; then it
 // is as of the last one.
 func (c *Claims) Others(wait time.Duration) (n int) {
@@ -568,7 +596,7 @@
 	return Stats{Own: len(c.own), Others: len(c.others), Keys: c.table.Len(), Running: len(c.mine), Bytes: c.bytes(), Waiting: len(c.waiters)}
 }
 
-// Close tells what is still to be told and lets go of the folder: the others take this process for ended.
+// Close tells what is still to be told and leaves the folder: the others take this process for ended.
 func (c *Claims) Close() error {
 	c.mu.Lock()
 	if c.closed {
@@ -590,6 +618,59 @@
 	for _, s := range c.others {
 		s.done()
 	}
+	c.folder.bury(c.folder.owner)
 	c.folder.close()
 	return nil
 }
+
+// Look is a line on each process that has told of keys in dir, as of now: whether it lives, its segments and bytes, the
+// keys that count and how many of them run. It changes nothing, and is not for the processes themselves.
+func Look(dir string, now time.Time) ([]string, error) {
+	f := &folder{dir: dir}
+	if _, err := os.Stat(dir); errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	var err error
+	if f.lock, err = os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR, 0); err == nil {
+		err = f.locked()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("claims: %w", err)
+	}
+	defer f.close()
+	found, owners, err := f.list()
+	if err != nil {
+		return nil, fmt.Errorf("claims: %w", err)
+	}
+	for _, s := range found {
+		owners = append(owners, s.owner)
+	}
+	slices.Sort(owners)
+	owners = slices.Compact(owners)
+	table := holding.New()
+	numbers := map[string]int{}
+	segments, bytes := map[string]int{}, map[string]int64{}
+	buffer := make([]byte, format.MostRecord+4<<10)
+	for n, name := range owners {
+		numbers[name] = n
+	}
+	for n, s := range found {
+		err = errors.Join(err, s.read(buffer, true, func(r format.Record, at, size int64) {
+			table.Apply(numbers[s.owner], r, holding.Place{Segment: n})
+		}))
+		s.done()
+		segments[s.owner]++
+		bytes[s.owner] += s.size
+	}
+	counts := table.Count(now.UnixNano())
+	var lines []string
+	for n, name := range owners {
+		state := "lives"
+		if f.dead(name) {
+			state = "has ended"
+		}
+		lines = append(lines, fmt.Sprintf("%s: process %s %s: %d segments, %d bytes, %d keys, %d of them run or have no known end",
+			dir, name, state, segments[name], bytes[name], counts[n].Keys, counts[n].Running))
+	}
+	return lines, err
+}
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -100,6 +100,12 @@
 	if n := old.Others(standin.Patience); n != 1 {
 		t.Errorf("the old process sees %d others", n)
 	}
+	if notes := old.Exchange([]byte("from old")); len(notes) != 1 || len(notes[0]) != 0 {
+		t.Errorf("notes to the old process: %q", notes)
+	}
+	if notes := next.Exchange([]byte("from next")); len(notes) != 1 || string(notes[0]) != "from old" {
+		t.Errorf("notes to the next process: %q", notes)
+	}
 	a, b, w := booking("a"), booking("b"), booking("w")
 	for _, k := range []node.Booking{a, b, w} {
 		if err := begin(t, old, k); err != nil {
@@ -156,6 +162,9 @@
 	}
 	next.Await(booking("a"), func() { close(heard) })
 	old.Close()
+	if notes := next.Exchange(nil); len(notes) != 0 {
+		t.Errorf("notes of a process that has ended: %q", notes)
+	}
 	settle(t, next)
 	wait(t, heard)
 	third := open(t, dir, now.Now, nil)
--- a/internal/claims/holding/holding.go
+++ b/internal/claims/holding/holding.go
@@ -74,3 +74,24 @@
 
 // Len is how many keys are known, withdrawn ones included until they are forgotten.
 func (t *Table) Len() int { return len(t.claims) }
+
+// Count is how many keys a process holds.
+type Count struct {
+	Keys, Running int // that count; of which no end was told
+}
+
+// Count returns them by process, at the given time in Unix nanoseconds.
+func (t *Table) Count(now int64) map[int]Count {
+	counts := map[int]Count{}
+	for id := range t.claims {
+		if c, ok := t.Find(id, now); ok {
+			n := counts[c.Owner]
+			n.Keys++
+			if c.Kind == format.Began {
+				n.Running++
+			}
+			counts[c.Owner] = n
+		}
+	}
+	return counts
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -86,6 +86,7 @@
 	// Patience is how long a due tick waits for the gauges. While the machine stands still they do not come,
 	// and a module that looked at the clock then would take the silence of its runs for an illness.
 	Patience time.Duration
+	Learned  *logic.Learned // what another process of this node found out, to begin with; nil: nothing
 }
 
 // Gate owns one decision module.
@@ -99,6 +100,8 @@
 	ready  *sync.Cond // out has something, or the gate is closed
 	closed bool
 	retune *logic.Settings // to be taken before the next events
+	learn  []chan logic.Learned
+	share  float64 // of the server, to be taken before the next events; 0: as it is
 
 	wake    chan struct{}
 	gauges  chan Gauges
@@ -119,6 +122,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.Learned != nil {
+		server.Adopt(*opts.Learned)
+	}
 	g := &Gate{server: server, opts: opts, wake: make(chan struct{}, 1), gauges: make(chan Gauges, 1),
 		done: make(chan struct{}), lastG: Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}}
 	g.ready = sync.NewCond(&g.mu)
@@ -152,6 +158,37 @@
 	}
 }
 
+// Share has the module use a part of the cores and the memory, above 0 and at most 1: another process of this node has
+// the rest. It never blocks.
+func (g *Gate) Share(part float64) {
+	g.mu.Lock()
+	g.share = part
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Learned is what the module has found out so far. It waits for the module's turn, which is short; false: the gate is
+// closed.
+func (g *Gate) Learned() (logic.Learned, bool) {
+	out := make(chan logic.Learned, 1)
+	g.mu.Lock()
+	g.learn = append(g.learn, out)
+	g.mu.Unlock()
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case l := <-out:
+		return l, true
+	case <-g.done:
+		return logic.Learned{}, false
+	}
+}
+
 // Tick hands over the gauges that Ask requested. Gauges that nothing waits for are dropped.
 func (g *Gate) Tick(m Gauges) {
 	select {
@@ -228,8 +265,8 @@
 // step takes in what has come and hands out what the module decides on it.
 func (g *Gate) step(due bool, timer *time.Timer) {
 	g.mu.Lock()
-	events, closed, retune := g.in, g.closed, g.retune
-	g.in, g.retune = nil, nil
+	events, closed, retune, learn, share := g.in, g.closed, g.retune, g.learn, g.share
+	g.in, g.retune, g.learn, g.share = nil, nil, nil, 0
 	g.mu.Unlock()
 	if closed {
 		return
@@ -239,11 +276,17 @@
 			panic(err) // the caller checked them: the classes of requests in hand would be lost
 		}
 	}
+	if share > 0 {
+		g.server.Share(share)
+	}
+	for _, out := range learn {
+		out <- g.server.Learned()
+	}
 	if due {
 		g.asked = false
 		events = append(events, logic.Event{Kind: logic.EvTimer, Tag: g.pending, Gauges: g.lastG})
 	}
-	if len(events) == 0 {
+	if len(events) == 0 && share == 0 {
 		return
 	}
 	// The module's clock only advances, whatever is done to the system's.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -63,6 +63,8 @@
 	DueShare              float64       // of the grace after a due time at which the guard answers
 	GraceSpare            time.Duration // before the end of the drain's grace at which callers are sent elsewhere
 	KillSpare             time.Duration // before the kill at which all that is left is answered
+	Share                 time.Duration // between looks at what the other processes of this node have in hand
+	LearnedOldest         time.Duration // of what an earlier process learned, to begin with it
 	Others                time.Duration // for a look at which other processes of this node live
 	Sweep                 time.Duration // between looks for what has expired
 	Orphan                time.Duration // after its due time when a run that never reported is written off
@@ -101,6 +103,7 @@
 	SegmentAge time.Duration // or this long after its beginning, or a sixteenth of the widest window where that is longer
 	Result     int           // bytes of a result that is told
 	Queue      int           // records that wait to be told
+	Note       int           // bytes of what each process says of itself
 	Look       time.Duration // between looks at what others told, while somebody waits for it
 	LogEvery   time.Duration // between log lines on one kind of trouble
 }
@@ -109,7 +112,7 @@
 func ForClaims(memoryMB int) Claims {
 	memory := int64(max(memoryMB, 32)) << 20
 	return Claims{Bytes: memory / 12, Segment: 512 << 10, SegmentAge: 5 * time.Second, Result: 16 << 10, Queue: 16384,
-		Look: 5 * time.Millisecond, LogEvery: time.Second}
+		Note: 64, Look: 5 * time.Millisecond, LogEvery: time.Second}
 }
 
 // ForLedger derives a ledger's limits from the memory that its keys may take, in bytes.
@@ -147,6 +150,6 @@
 		RecordWait: time.Second, RecordBack: time.Second,
 		KeySlack: 200 * time.Millisecond, DueShare: 0.5, GraceSpare: 50 * time.Millisecond, KillSpare: 150 * time.Millisecond,
 		OpsCall: 5 * time.Second, OpsSeats: 32, OpsLine: 256,
-		Others: 200 * time.Millisecond, Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
+		Share: 50 * time.Millisecond, LearnedOldest: 10 * time.Second, Others: 200 * time.Millisecond, Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -532,6 +532,21 @@
 	}
 }
 
+// Hand is how many requests run, and how many wait here to be run.
+func (n *Node) Hand() (running, held int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.byNum {
+		switch {
+		case r.stage == runs:
+			running++
+		case r.stage != joined && r.stage != ended:
+			held++
+		}
+	}
+	return running, held
+}
+
 // Totals are the counts so far, and the requests in hand.
 func (n *Node) Totals() (c Counts, hand, keys int) {
 	n.mu.Lock()
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -74,6 +74,9 @@
 // Retune takes the names of classes of new settings, for requests read from now on. The core must know them first.
 func (f *Front) Retune(classes map[string]int) { f.classes.Store(&classes) }
 
+// Resize takes so many connections at once from now on; none is cut for it.
+func (f *Front) Resize(most int) { f.seats.Resize(most) }
+
 // listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
 // lack of descriptors: redcon would spin on it.
 type listener struct {
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -40,6 +40,13 @@
 	return &Table{most: most, grace: grace, idle: idle, kept: max(1, most/8), taken: map[*Seat]struct{}{}}
 }
 
+// Resize has the table seat so many from now on. Who is seated stays: beyond that many, newcomers have others make room.
+func (t *Table) Resize(most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.most, t.kept = most, max(1, most/8)
+}
+
 // Take seats a connection that end closes. Without a free seat the one that has been silent for longest makes room,
 // unless it is a newcomer that may be about to speak; then one that has spoken and idles does, those that spoke once
 // first. Only if none of them may go, or newcomers have all the seats that are kept for them, it waits for the first
--- a/logic/api.go
+++ b/logic/api.go
@@ -186,3 +186,30 @@
 	Last  bool // ActRefuse: another server will not help
 	On    bool // ActHealth: the server is well
 }
+
+// Average is an exponentially moving average that weighs its first samples evenly.
+type Average struct {
+	Mean float64
+	N    int // samples
+}
+
+// Estimate is what is learned of a class's run times.
+type Estimate struct {
+	Run    Average // T_m, in microseconds
+	Hinted Average // T_m of runs with a hint
+	Hint   Average // their mean hint
+	Cov    float64 // covariance of hint and run time
+	Spread float64 // variance of the hint
+}
+
+// Learned is what a server has found out that a new one for the same settings can begin with (Server.Learned, Adopt).
+type Learned struct {
+	Limit    float64             // the running limit
+	Gap      Average             // microseconds between completions while the cores are full
+	CallTime Average             // microseconds of a call
+	CallBest float64             // the least that its mean has been lately
+	Refusing Average             // share of requests refused
+	Told     []float64           // how often callers told which share of the deadline
+	Classes  map[string]Estimate // by name
+	Tokens   map[string]float64  // what is left of each tenant's quota here, by name
+}
--- a/logic/calls_test.go
+++ b/logic/calls_test.go
@@ -176,7 +176,7 @@
 		}
 		d.want(out, c.want, 2)
 		call(3, 1)
-		if mean := d.s.callTime.mean; mean > float64(callSlow*20*ms) {
+		if mean := d.s.callTime.Mean; mean > float64(callSlow*20*ms) {
 			t.Errorf("%v: calls are taken to last %v", c.outcome, mean)
 		}
 		if c.class != 0 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -96,25 +96,15 @@
 	span Micros // how long it was in them
 }
 
-// average is an exponentially moving average that weighs its first samples evenly.
-type average struct {
-	mean float64
-	n    int
-}
-
-func (a *average) add(x, weight float64) {
-	a.n++
-	a.mean += max(weight, 1/float64(a.n)) * (x - a.mean)
+func (a *Average) add(x, weight float64) {
+	a.N++
+	a.Mean += max(weight, 1/float64(a.N)) * (x - a.Mean)
 }
 
 // classState is what is known of one class.
 type classState struct {
 	Class
-	run    average // T_m, in microseconds
-	hinted average // T_m of runs with a hint
-	hint   average // their mean hint
-	cov    float64 // covariance of hint and run time
-	spread float64 // variance of the hint
+	Estimate
 }
 
 // Server decides for one server process. It is not safe for concurrent use.
@@ -134,22 +124,23 @@
 	active        []*request // running, calling or joined
 
 	limit     float64
+	share     float64 // of the cores and the memory: another process of this server has the rest
 	running   int
 	calls     int      // requests that stand at a call
 	memory    float64  // kilobytes of held and running requests
 	keys      []Micros // when entries of the table of keys expire, in order
-	recent    average  // recent run time over the estimate at its start
-	gap       average  // microseconds between completions while the cores are full
+	recent    Average  // recent run time over the estimate at its start
+	gap       Average  // microseconds between completions while the cores are full
 	progress  Micros   // last sign that the cores get work done
 	stallEnd  Micros   // runs started before this are no samples
-	refusing  average  // share of requests refused
-	failing   average  // share of recent runs that failed
+	refusing  Average  // share of requests refused
+	failing   Average  // share of recent runs that failed
 	floor     float64  // rank below which callers are asked to send nothing
-	stale     average  // age at reading, of staleShare of the aim
+	stale     Average  // age at reading, of staleShare of the aim
 	lastProbe Micros
 	gauges    Gauges
 
-	callTime  average // microseconds of a call
+	callTime  Average // microseconds of a call
 	callBest  float64 // the least that its mean has been lately
 	callsOut  int     // calls in the dependency's hands, abandoned ones not counted
 	ledger    []handled
@@ -173,7 +164,8 @@
 	}
 	cfg.RunFactor = max(1, cfg.RunFactor)
 	s := &Server{cfg: cfg, now: -1, byID: map[RequestID]*request{},
-		limit: float64(cfg.Cores), tokens: make([]float64, len(cfg.Tenants)), said: -1, healthy: true,
+		limit: float64(cfg.Cores), share: 1,
+		tokens: make([]float64, len(cfg.Tenants)), said: -1, healthy: true,
 		topWorth: 1e-9, gauges: Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}}
 	for _, c := range cfg.Classes {
 		s.classes = append(s.classes, &classState{Class: c})
@@ -208,6 +200,36 @@
 	return nil
 }
 
+// Learned is what this server has found out so far.
+func (s *Server) Learned() Learned {
+	l := Learned{Limit: s.limit, Gap: s.gap, CallTime: s.callTime, CallBest: s.callBest, Refusing: s.refusing,
+		Told: slices.Clone(s.told[:]), Classes: map[string]Estimate{}, Tokens: map[string]float64{}}
+	for _, c := range s.classes {
+		l.Classes[c.Name] = c.Estimate
+	}
+	for i, t := range s.cfg.Tenants {
+		l.Tokens[t.Name] = s.tokens[i]
+	}
+	return l
+}
+
+// Adopt begins with what another server found out; slots caps its limit as it does an own one. It is to be
+// called before the first Step.
+func (s *Server) Adopt(l Learned) {
+	s.limit, s.gap, s.refusing = max(s.limit, l.Limit), l.Gap, l.Refusing
+	s.callTime, s.callBest = l.CallTime, l.CallBest
+	copy(s.told[:], l.Told)
+	for _, c := range s.classes {
+		c.Estimate = l.Classes[c.Name]
+	}
+	for i, t := range s.cfg.Tenants {
+		s.tokens[i] = min(s.tokens[i], max(0, l.Tokens[t.Name]))
+	}
+}
+
+// Share says which part of the cores and the memory, up to 1, this server may use as of the next Step.
+func (s *Server) Share(part float64) { s.share = part }
+
 func check(cfg Settings) error {
 	if cfg.Cores <= 0 || cfg.MemoryKB <= 0 || cfg.CallsShare > 0 && cfg.CallsSpan <= 0 {
 		return errors.New("settings: cores, memory and the span of a share of calls must be above 0")
@@ -258,7 +280,7 @@
 		s.do(Action{Kind: ActHealth, On: true})
 	}
 	span := float64(now - s.now)
-	s.credit = min(s.credit+s.callPace()*span, callsBurst*s.callTime.mean)
+	s.credit = min(s.credit+s.callPace()*span, callsBurst*s.callTime.Mean)
 	s.now = now
 	at, _ := slices.BinarySearch(s.keys, now)
 	s.keys = s.keys[at:]
@@ -286,7 +308,7 @@
 		s.wakeAt, s.gauges = 0, ev.Gauges
 		s.moveFloor()
 		if s.gauges.RunQueue <= float64(s.running) {
-			s.stale.mean = 0
+			s.stale.Mean = 0
 		}
 		s.climb()
 		s.closeIdle()
@@ -437,32 +459,32 @@
 	if tm := s.runTime(r); tm > 0 {
 		s.recent.add(elapsed/tm, probeWeight/2)
 	}
-	c.run.add(elapsed, r.weight)
+	c.Run.add(elapsed, r.weight)
 	if r.Hint <= 0 {
 		return
 	}
 	hint := float64(r.Hint)
-	if c.hinted.n == 0 {
+	if c.Hinted.N == 0 {
 		// At first in proportion to the hint, but no more than that many times: the rest is waits.
-		c.cov, c.spread = min(hint*elapsed, slopeMost*hint*hint)/4, hint*hint/4
-		c.hint.mean, c.hinted.mean = hint, elapsed // one sample has no spread of its own
+		c.Cov, c.Spread = min(hint*elapsed, slopeMost*hint*hint)/4, hint*hint/4
+		c.Hint.Mean, c.Hinted.Mean = hint, elapsed // one sample has no spread of its own
 	}
-	off := hint - c.hint.mean
-	c.cov += r.weight * (off*(elapsed-c.hinted.mean) - c.cov)
-	c.spread += r.weight * (off*off - c.spread)
-	c.hint.add(hint, r.weight)
-	c.hinted.add(elapsed, r.weight)
+	off := hint - c.Hint.Mean
+	c.Cov += r.weight * (off*(elapsed-c.Hinted.Mean) - c.Cov)
+	c.Spread += r.weight * (off*off - c.Spread)
+	c.Hint.add(hint, r.weight)
+	c.Hinted.add(elapsed, r.weight)
 }
 
 // runTime is T_m for a request, in microseconds: where it carries a hint, the best straight line through the
 // hints and run times seen, since waits for disk and calls don't grow with the work and hints may be rough.
 func (s *Server) runTime(r *request) float64 {
 	c := s.classes[r.Class]
-	if r.Hint > 0 && c.hinted.n > 0 {
-		slope := max(0, c.cov) / max(1, c.spread)
-		return max(meanWeight*c.hinted.mean, c.hinted.mean+slope*(float64(r.Hint)-c.hint.mean))
+	if r.Hint > 0 && c.Hinted.N > 0 {
+		slope := max(0, c.Cov) / max(1, c.Spread)
+		return max(meanWeight*c.Hinted.Mean, c.Hinted.Mean+slope*(float64(r.Hint)-c.Hint.Mean))
 	}
-	return c.run.mean
+	return c.Run.Mean
 }
 
 // Two queues.
@@ -610,9 +632,9 @@
 
 // cut lowers the limit when runs take much longer than T_m while more wants the cores than there are.
 func (s *Server) cut() {
-	if s.recent.mean > slowRuns && s.gauges.RunQueue > float64(s.cfg.Cores) {
+	if s.recent.Mean > slowRuns && s.gauges.RunQueue > float64(s.cfg.Cores) {
 		s.limit = max(float64(s.cfg.Cores), s.limit*limitCut)
-		s.recent.mean = 1
+		s.recent.Mean = 1
 	}
 }
 
@@ -628,8 +650,8 @@
 
 // slots is the number of runs allowed on the cores now: all that stand at calls may return together.
 func (s *Server) slots() int {
-	crowd, calls := s.crowd(), float64(s.calls)
-	return int(min(s.limit, max(1, crowd*crowdShare-calls/2), crowd-calls))
+	crowd, calls := s.crowd()*s.share, float64(s.calls)
+	return int(min(max(1, s.limit*s.share), max(1, crowd*crowdShare-calls/2), crowd-calls))
 }
 
 // Guards.
@@ -637,10 +659,10 @@
 // stallGap is the completion gap beyond which full cores are taken to stand still; half the mean aim as
 // long as the ordinary gap is unknown.
 func (s *Server) stallGap() Micros {
-	if s.gap.n < stallGaps {
+	if s.gap.N < stallGaps {
 		return Micros(s.aim / 2)
 	}
-	return max(stallFloor, Micros(stallGaps*s.gap.mean))
+	return max(stallFloor, Micros(stallGaps*s.gap.Mean))
 }
 
 // sick guards against a server that takes work and does none of it, whatever the cause: runs age with no
@@ -648,7 +670,7 @@
 // tells when it is over. It could harm where a few very long runs fill all cores.
 func (s *Server) sick() bool {
 	return s.running >= s.cfg.Cores && s.now-s.progress > 2*s.stallGap() ||
-		s.failing.n > stallGaps && s.failing.mean > failShare
+		s.failing.N > stallGaps && s.failing.Mean > failShare
 }
 
 // mayProbe says whether a request may start against the estimate, so that a stale T_m or a sick spell that
@@ -663,13 +685,13 @@
 
 // fits says whether a held request may start now as far as memory and the drain go.
 func (s *Server) fits(r *request) bool {
-	return s.used()+r.KB*(s.cfg.RunFactor-1) <= memoryShare*s.cfg.MemoryKB && !s.tooLateToRun(r)
+	return s.used()+r.KB*(s.cfg.RunFactor-1) <= s.share*memoryShare*s.cfg.MemoryKB && !s.tooLateToRun(r)
 }
 
 // guardMemory keeps held requests within the memory: the least worthy go first. It could harm when one
 // huge request pushes out many small ones.
 func (s *Server) guardMemory() {
-	for i := len(s.queue) - 1; i >= 0 && s.used() > memoryShare*s.cfg.MemoryKB; i-- {
+	for i := len(s.queue) - 1; i >= 0 && s.used() > s.share*memoryShare*s.cfg.MemoryKB; i-- {
 		s.giveUp(s.queue[i])
 	}
 }
@@ -682,7 +704,7 @@
 	if c.Effect != Keyed || c.Window == 0 {
 		return
 	}
-	if r.keyEnds == 0 && s.used()+s.cfg.KeyKB > memoryShare*s.cfg.MemoryKB {
+	if r.keyEnds == 0 && s.used()+s.cfg.KeyKB > s.share*memoryShare*s.cfg.MemoryKB {
 		return
 	}
 	s.dropKey(r)
@@ -774,9 +796,9 @@
 	}
 	r.lost++
 	if s.cfg.CallsShare > 0 {
-		s.callsFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.mean))
+		s.callsFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.Mean))
 	} else if ev.Outcome.NeverRan() {
-		r.callFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callBack*float64(r.lost)*s.callTime.mean))
+		r.callFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callBack*float64(r.lost)*s.callTime.Mean))
 	}
 	if s.cfg.CallsShare <= 0 && c.Effect == Safe && r.lost <= callRepeats {
 		return
@@ -792,18 +814,18 @@
 // may also have been lost: it counts as somewhat slow, so that a few of those can't pass for a slow tier.
 func (s *Server) callSample(ev *Event) {
 	took := float64(ev.Elapsed)
-	if ev.Outcome == TimedOut && took > s.callTime.mean {
-		if s.cfg.CallsShare <= 0 && s.callTime.n > 0 {
-			took = min(took, callSlow*s.callTime.mean)
+	if ev.Outcome == TimedOut && took > s.callTime.Mean {
+		if s.cfg.CallsShare <= 0 && s.callTime.N > 0 {
+			took = min(took, callSlow*s.callTime.Mean)
 		}
 	} else if ev.Outcome != OK {
 		return
 	}
 	s.callTime.add(max(1, took), callWeight)
-	if s.callBest += callsDrift * (s.callTime.mean - s.callBest); float64(s.callTime.n)*callWeight <= 1 {
-		s.callBest = s.callTime.mean // too few samples to tell the least
+	if s.callBest += callsDrift * (s.callTime.Mean - s.callBest); float64(s.callTime.N)*callWeight <= 1 {
+		s.callBest = s.callTime.Mean // too few samples to tell the least
 	}
-	s.callBest = min(s.callBest, s.callTime.mean)
+	s.callBest = min(s.callBest, s.callTime.Mean)
 }
 
 // callOver moves a call from what is reserved to what is spent. One given up stays in the dependency's
@@ -844,7 +866,7 @@
 		_, d2 := s.bounds(r)
 		span := s.callSpan(r)
 		wait := s.callDelay(r, i)
-		late := float64(s.now)+wait+s.callTime.mean > d2 && !s.probesCall()
+		late := float64(s.now)+wait+s.callTime.Mean > d2 && !s.probesCall()
 		switch {
 		case s.classes[r.Class].DegradedWorth > 0 && (late || wait > callPatience*s.callBest || span <= 0):
 			s.goOn(r)
@@ -876,10 +898,10 @@
 		return 0
 	}
 	kept := callsKept * (1 - s.classes[r.Class].Worth/s.topWorth)
-	left := s.credit - (float64(ahead)+kept)*s.callTime.mean
+	left := s.credit - (float64(ahead)+kept)*s.callTime.Mean
 	for _, r := range s.active {
 		if r.callOut {
-			left -= max(s.callTime.mean, float64(s.now-r.called))
+			left -= max(s.callTime.Mean, float64(s.now-r.called))
 		}
 	}
 	return max(0, -left/s.callPace())
@@ -888,19 +910,19 @@
 // callPace is the mean number of calls in hand that is planned: most of the bound while calls take about the
 // least time that they have taken, less in proportion as they take longer.
 func (s *Server) callPace() float64 {
-	if s.callTime.n == 0 {
+	if s.callTime.N == 0 {
 		return callsMost * s.cfg.CallsShare
 	}
-	return min(callsMost, max(callsLeast, callsMost*callSlow*s.callBest/s.callTime.mean)) * s.cfg.CallsShare
+	return min(callsMost, max(callsLeast, callsMost*callSlow*s.callBest/s.callTime.Mean)) * s.cfg.CallsShare
 }
 
 // callSpan is how long a call may take before it is given up, so that the bound holds even then; 0 if there
 // is no room for one that takes an ordinary time.
 func (s *Server) callSpan(r *request) Micros {
 	span := r.due - s.now
-	if c := s.classes[r.Class]; s.cfg.CallsShare <= 0 && s.callTime.n > 0 {
+	if c := s.classes[r.Class]; s.cfg.CallsShare <= 0 && s.callTime.N > 0 {
 		if c.Effect == Safe { // its reply may be lost: it can be made again, or left out
-			span = min(span, max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.mean)))
+			span = min(span, max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.Mean)))
 		} else if c.LateWorth == 0 {
 			span = min(span, max(1, r.first+c.Aim-s.now))
 		}
@@ -910,7 +932,7 @@
 		room := bound - s.callsDone - s.callsHeld - s.cfg.CallLinger - s.cfg.Tick
 		span = min(span, Micros(callsPart*float64(room)))
 	}
-	if float64(span) < s.callTime.mean && !s.probesCall() {
+	if float64(span) < s.callTime.Mean && !s.probesCall() {
 		return 0
 	}
 	return span
@@ -944,7 +966,7 @@
 	}
 	if r.stage == held || s.classes[r.Class].Effect == Safe {
 		s.refusing.add(1, 1.0/heardLately)
-		s.do(Action{Kind: ActRefuse, ID: r.id, Span: s.advice(), Last: s.refusing.mean > lastShare})
+		s.do(Action{Kind: ActRefuse, ID: r.id, Span: s.advice(), Last: s.refusing.Mean > lastShare})
 	} else {
 		s.do(Action{Kind: ActFail, ID: r.id})
 	}
@@ -995,7 +1017,7 @@
 
 // signal tells health checks of the symptoms of a hang or of failing work, and callers how much to send here.
 func (s *Server) signal() {
-	if well := !s.sick() && s.stale.mean < failShare && !s.leaving(); well != s.healthy {
+	if well := !s.sick() && s.stale.Mean < failShare && !s.leaving(); well != s.healthy {
 		s.healthy = well
 		s.do(Action{Kind: ActHealth, On: well})
 	}
@@ -1031,15 +1053,15 @@
 	if s.cfg.Signal == SignalFloor {
 		return max(shut, s.floor)
 	}
-	return 1 - max(shut, min(shutMost, s.refusing.mean))
+	return 1 - max(shut, min(shutMost, s.refusing.Mean))
 }
 
 // moveFloor guards against reading what is refused anyway: while cores are short, the floor rises to the
 // rank that as much of the latest arrivals lies under as is refused; else it sinks: what it hides returns.
 func (s *Server) moveFloor() {
 	s.floor *= 1 - 1.0/heardLately
-	refused := int(max(0, s.refusing.mean-lastShare) * float64(len(s.latest)))
-	if s.cfg.Signal == SignalFloor && refused > 0 && s.credit >= callsKept*s.callTime.mean {
+	refused := int(max(0, s.refusing.Mean-lastShare) * float64(len(s.latest)))
+	if s.cfg.Signal == SignalFloor && refused > 0 && s.credit >= callsKept*s.callTime.Mean {
 		ranked := slices.Clone(s.latest)
 		slices.SortFunc(ranked, func(a, b Arrival) int { return cmp.Compare(a.Rank, b.Rank) })
 		s.floor = max(s.floor, min(shutMost, ranked[refused].Rank))
@@ -1050,7 +1072,7 @@
 func (s *Server) meanRun() float64 {
 	time := 0.0
 	for _, c := range s.classes {
-		time += c.run.mean / float64(len(s.classes))
+		time += c.Run.Mean / float64(len(s.classes))
 	}
 	return time
 }
--- a/logic/more_test.go
+++ b/logic/more_test.go
@@ -52,7 +52,7 @@
 		d.step(900 * ms)
 	}
 	d.learn(21, 0, 800*ms) // one at a time: the gap tells nothing
-	if got := d.s.classes[0].run.mean; got <= float64(50*ms) {
+	if got := d.s.classes[0].Run.Mean; got <= float64(50*ms) {
 		t.Errorf("T_m stayed at %v: the long run was taken for a stall", got)
 	}
 }
--- a/logic/path_test.go
+++ b/logic/path_test.go
@@ -80,7 +80,7 @@
 		d.learn(1, 0, 300*ms)
 		d.step(0, arrival(2, 0, 3000*ms))
 		d.step(ms, ev)
-		if got := d.s.classes[0].run.mean; got != float64(300*ms) {
+		if got := d.s.classes[0].Run.Mean; got != float64(300*ms) {
 			t.Errorf("%s: T_m moved to %v", name, got)
 		}
 	}
@@ -91,7 +91,7 @@
 	d.learn(1, 0, 100*ms)
 	d.step(0, arrival(2, 0, 3000*ms), arrival(3, 0, 3000*ms))
 	d.step(1500*ms, done(2, OK, 1500*ms), arrival(4, 0, 3000*ms), done(3, OK, 1500*ms))
-	if got := d.s.classes[0].run.mean; got != float64(100*ms) {
+	if got := d.s.classes[0].Run.Mean; got != float64(100*ms) {
 		t.Errorf("T_m took a sample from before the stall: %v", got)
 	}
 }
@@ -126,7 +126,7 @@
 	if d.s.limit != 3 {
 		t.Errorf("limit %v after a climb, want 3", d.s.limit)
 	}
-	d.s.limit, d.s.recent = 8, average{mean: 2, n: 9}
+	d.s.limit, d.s.recent = 8, Average{Mean: 2, N: 9}
 	busy := tick()
 	busy.Gauges.RunQueue = 9
 	d.step(4*ms, busy, done(1, OK, 100*ms))
--- a/logic/signals_test.go
+++ b/logic/signals_test.go
@@ -24,9 +24,9 @@
 	}
 	high := d.s.floor
 	if high <= 0.05 || high >= 0.95 {
-		t.Fatalf("floor %.2f with %.2f refused: want it within the ranks of what arrives", high, d.s.refusing.mean)
+		t.Fatalf("floor %.2f with %.2f refused: want it within the ranks of what arrives", high, d.s.refusing.Mean)
 	}
-	d.s.refusing.mean = 0
+	d.s.refusing.Mean = 0
 	for range 300 { // 10 s without refusals
 		d.step(32*ms, tick())
 	}
@@ -43,7 +43,7 @@
 		ev.Arrival.Rank = 0.3
 		d.step(0, ev)
 	}
-	d.s.refusing.mean, d.s.credit = 0.5, 0
+	d.s.refusing.Mean, d.s.credit = 0.5, 0
 	d.s.moveFloor()
 	if d.s.floor != 0 {
 		t.Errorf("floor %.2f although calls are what is short", d.s.floor)
@@ -163,10 +163,10 @@
 func TestRunGivenUpIsASample(t *testing.T) {
 	d := drive(t, testSettings())
 	d.learn(1, 1, 50*ms)
-	before := d.s.classes[1].run.mean
+	before := d.s.classes[1].Run.Mean
 	d.step(0, arrival(2, 1, 900*ms))
 	d.want(d.step(900*ms, tick()), ActFail, 2)
-	if got := d.s.classes[1].run.mean; got <= before {
+	if got := d.s.classes[1].Run.Mean; got <= before {
 		t.Errorf("T_m %.0f ms after a run given up at 900 ms, %.0f before", got/1e3, before/1e3)
 	}
 }
