Have a try that is turned away as the other process begins its key wait for that run

Seen: in the new test of two real processes under keyed traffic, one try in some hundreds failed though its key ran well in the process that lived. The module turned the try away while the other process had just claimed the key; the core then answered failed, as a refusal would send the try to run elsewhere (settle, internal/node/node.go). Ruled out: a lost claim, a lost result (no key ran twice, all later tries heard the result).

Change: such a try leaves the module's hands and waits for that run's end, as one that met the claim on arrival does.

--- /dev/null
+++ b/cmd/sloehitch/handover_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloehitch/internal/standin"
+)
+
+// sharing is the platform's side of a node whose processes replace each other: one listener, one $TMPDIR, and for each
+// process an address of the runtime of its own.
+type sharing struct {
+	t        *testing.T
+	dir      string
+	listener *os.File
+	address  string
+	deploy   string
+	runtimes []*standin.Runtime
+	killed   map[*standin.Runtime]bool
+}
+
+func newSharing(t *testing.T, deploy string) *sharing {
+	t.Helper()
+	ln := standin.Listen(t)
+	f, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	s := &sharing{t: t, dir: t.TempDir(), listener: f, address: ln.Addr().String(), killed: map[*standin.Runtime]bool{}}
+	ln.Close()
+	s.deploy = filepath.Join(s.dir, "deploy.toml")
+	if err := os.WriteFile(s.deploy, []byte(deploy), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// start starts the real program, and returns once it has its link to the runtime.
+func (s *sharing) start() (*killable, *standin.Runtime) {
+	s.t.Helper()
+	rt := standin.NewRuntime(s.t, func(j *standin.Job) (string, string) { return "OK", "visit " + j.UID })
+	s.runtimes = append(s.runtimes, rt)
+	config := filepath.Join(s.dir, fmt.Sprint("config", len(s.runtimes)))
+	if err := os.WriteFile(config, []byte(standin.Config(s.address, rt.Address, "", ample)), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	k := &killable{Cmd: command("serve", "--config", config, "--deploy", s.deploy)}
+	k.Env = append(k.Env, "TMPDIR="+s.dir, "GW_ACCEPT_FD=3")
+	k.ExtraFiles = []*os.File{s.listener}
+	k.Stderr = &k.log
+	if err := k.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(k.kill)
+	select {
+	case <-rt.Syncs:
+	case <-time.After(standin.Patience):
+		k.kill()
+		s.t.Fatalf("it does not serve:\n%s", k.log.String())
+	}
+	return k, rt
+}
+
+// runs is how often a key was run in all processes, and in those that were not killed.
+func (s *sharing) runs(body string) (all, living int) {
+	for _, rt := range s.runtimes {
+		n := rt.Runs(body)
+		if all += n; !s.killed[rt] {
+			living += n
+		}
+	}
+	return all, living
+}
+
+// TestKilledInHandOver: keyed tries reach two real processes at once, the old one is killed or replaced at seeded
+// moments, and the next comes. No key runs twice; every try that is served hears the same result; none is refused once its
+// key has run, and one fails only where the process that held its key was killed.
+func TestKilledInHandOver(t *testing.T) {
+	const rounds, keys, conns, perConn = 6, 60, 8, 8
+	s := newSharing(t, "")
+	random := rand.New(rand.NewPCG(3, 3))
+	old, oldRuntime := s.start()
+	var mu sync.Mutex
+	results, failed, id := map[string]string{}, map[string]bool{}, 0
+	for round := range rounds {
+		next, nextRuntime := s.start()
+		before := map[string]bool{}
+		for i := range keys {
+			body := fmt.Sprint("k", i)
+			all, _ := s.runs(body)
+			before[body] = all > 0
+		}
+		var readers sync.WaitGroup
+		answers := make(chan struct{}, conns*perConn)
+		for range conns {
+			b := standin.Dial(t, s.address)
+			sent := map[string]string{}
+			for range perConn {
+				id++
+				body := fmt.Sprint("k", random.IntN(keys))
+				sent[fmt.Sprint(id)] = body
+				b.Do(id, "book", req(id), time.Now(), body, ",opkey="+body)
+			}
+			readers.Add(1)
+			go func() {
+				defer readers.Done()
+				defer b.Close()
+				for left := len(sent); left > 0; {
+					got := b.Read()
+					if len(got) < 2 {
+						return // its process was killed
+					}
+					body, ours := sent[got[0]]
+					if !ours {
+						continue // it is asked to close
+					}
+					left--
+					answers <- struct{}{}
+					mu.Lock()
+					switch {
+					case got[1] == "ACK" && results[body] == "" && len(got) > 3:
+						results[body] = got[3]
+					case got[1] == "ACK" && len(got) > 3 && got[3] != results[body]:
+						t.Errorf("round %d: %s was served with %q and with %q", round, body, results[body], got[3])
+					case got[1] == "NAK" && before[body]:
+						t.Errorf("round %d: %s had run and was refused: %q", round, body, got)
+					case got[1] != "ACK" && got[1] != "NAK":
+						failed[body] = true
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+		kill := random.IntN(2) == 0
+		for range random.IntN(conns * perConn / 2) { // the moment
+			<-answers
+		}
+		if kill {
+			old.kill()
+		} else if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		readers.Wait()
+		if kill {
+			s.killed[oldRuntime] = true
+		} else if err := old.Wait(); err != nil {
+			t.Errorf("round %d: told to leave it ended with %v:\n%s", round, err, old.log.String())
+		}
+		for i := range keys {
+			body := fmt.Sprint("k", i)
+			all, living := s.runs(body)
+			if all > 1 {
+				t.Errorf("round %d: %s ran %d times", round, body, all)
+			}
+			if failed[body] && living > 0 {
+				t.Errorf("round %d: a try of %s failed, though its process was not killed", round, body)
+			}
+		}
+		old, oldRuntime = next, nextRuntime
+	}
+	if len(results) < keys/2 || len(s.killed) == 0 || len(s.killed) == rounds {
+		t.Errorf("%d keys served, %d of %d processes killed: the test has shown little", len(results), len(s.killed), rounds)
+	}
+}
--- a/internal/node/abroad.go
+++ b/internal/node/abroad.go
@@ -78,6 +78,22 @@
 	n.enter(r, n.opts.Clock.Now()) // nothing ran there after all
 }
 
+// moved has a held try that the module turned away wait for the process that has begun its key meanwhile: refused, it
+// would be sent to run elsewhere. It returns false where none has.
+func (n *Node) moved(r *request) bool {
+	if r.settled || r.Key == "" || n.keys.ran(r) || !n.heldAbroad(r) {
+		return false
+	}
+	delete(n.byNum, r.num) // the module has done with it
+	for _, waiting := range n.keys.abandon(r) {
+		n.again(waiting)
+	}
+	if !n.abroad(r) { // withdrawn in this moment
+		n.enter(r, n.opts.Clock.Now())
+	}
+	return true
+}
+
 // taken has a try, and all that wait for it, wait for the process that holds their key.
 func (n *Node) taken(r *request) {
 	if r.wait != nil {
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -51,6 +51,9 @@
 		n.takeBack(r, a)
 		return
 	}
+	if a.Kind == Refused && r.stage == held && n.moved(r) {
+		return
+	}
 	n.settle(r, a)
 	if r.stage == held || r.stage == joined {
 		n.drop(r)
