Count what stands of a cut write of claims, so that a full folder loses no key

Seen: in the new test of a full folder (a process whose files may not grow beyond 1,000 bytes), 13 claims stood whole in the segment, the other process took them for held, and their own process was told that none was: each would have been refused here and failed there. At fault: segment.append used os.File.WriteAt, which returns 0 where a write fails midway, whatever part of it stands. Write says how much does.

Tests: what a process was told to hold is held, to the others too, and nothing else; a clock set back frees no key.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -7,9 +7,11 @@
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -327,9 +329,84 @@
 	fmt.Println("done")
 }
 
+// full is the process of TestFullFolder: its files can't grow beyond a size that cuts a record midway. It writes a line
+// for each key that it holds, then for each that it doesn't.
+func full(dir string) {
+	signal.Ignore(syscall.SIGXFSZ) // the write fails then
+	if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: 1000, Max: 1000}); err != nil {
+		panic(err)
+	}
+	c, err := Open(Options{Dir: dir, Spare: time.Second, Now: func() time.Time { return start }, Limits: limits.ForClaims(64), Log: standin.Quiet})
+	if err != nil {
+		panic(err)
+	}
+	var group sync.WaitGroup
+	for i := range 40 { // many in one write
+		group.Add(1)
+		if err := c.Began(booking(fmt.Sprint(i)), func(err error) {
+			defer group.Done()
+			fmt.Println(map[bool]string{true: "held", false: "not"}[err == nil], i)
+		}); err != nil {
+			panic(err)
+		}
+	}
+	group.Wait()
+	fmt.Println("done")
+	select {} // it lives until it is killed
+}
+
+// TestFullFolder: where the folder has no more room, what a process was told to hold is held, to the others too, what
+// was cut is not, and the error reaches who asked.
+func TestFullFolder(t *testing.T) {
+	dir := t.TempDir()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "CLAIMS_FULL="+dir)
+	out, err := cmd.StdoutPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { cmd.Process.Kill(); cmd.Wait() }()
+	c := open(t, dir, func() time.Time { return start }, nil)
+	counts := map[string]int{}
+	for said := bufio.NewScanner(out); said.Scan() && said.Text() != "done"; {
+		word, key, _ := strings.Cut(said.Text(), " ")
+		counts[word]++
+		if _, held := c.Find(booking(key)); held != (word == "held") {
+			t.Errorf("key %s: %s, to the other process %v", key, word, held)
+		}
+	}
+	if counts["held"] < 5 || counts["not"] < 5 {
+		t.Errorf("%v: the test shows nothing", counts)
+	}
+}
+
+// TestClockBack: a clock set back frees no key and stops no claim.
+func TestClockBack(t *testing.T) {
+	dir, now := t.TempDir(), &clock{now: start}
+	old, next := open(t, dir, now.Now, nil), open(t, dir, now.Now, nil)
+	if err := begin(t, old, booking("a")); err != nil {
+		t.Fatal(err)
+	}
+	now.move(-time.Hour)
+	settle(t, old)
+	settle(t, next)
+	if err := begin(t, next, booking("a")); !errors.Is(err, node.ErrTaken) {
+		t.Errorf("a key that is held: %v", err)
+	}
+	if err := begin(t, old, booking("b")); err != nil {
+		t.Error(err)
+	}
+}
+
 const killedKeys = 400
 
 func TestMain(m *testing.M) {
+	if dir := os.Getenv("CLAIMS_FULL"); dir != "" {
+		full(dir)
+	}
 	if dir := os.Getenv("CLAIMS_CHILD"); dir != "" {
 		var seed uint64
 		fmt.Sscan(os.Getenv("CLAIMS_SEED"), &seed)
--- a/internal/claims/folder.go
+++ b/internal/claims/folder.go
@@ -226,7 +226,7 @@
 // append writes text at the end of an own segment. It says how many of its bytes stand: whole records among them
 // count, whatever the error.
 func (s *segment) append(text []byte) (int, error) {
-	n, err := s.file.WriteAt(text, s.size)
+	n, err := s.file.Write(text) // not WriteAt, which does not say how much stands where it fails midway
 	s.size += int64(n)
 	if err != nil {
 		s.done() // what stands of the record that was cut must stay the last in its segment
