--- a/cmd/sloehitch/handover.go
+++ b/cmd/sloehitch/handover.go
@@ -45,7 +45,8 @@
 	}
 	d.log.Info("begun with what the process before has learned", "process", s.Process, "age", now.Sub(s.Made).Round(time.Millisecond),
 		"limit", s.Learned.Limit, "classes", len(s.Learned.Classes))
-	return &s.Learned
+	learned := handover.Temper(s.Learned, d.platform.Logic)
+	return &learned
 }
 
 // leaveLearned writes what this process has learned for the next one, where there may be one.
