--- a/cmd/sloehitch/handover_test.go
+++ b/cmd/sloehitch/handover_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/limits"
 	"sloehitch/internal/standin"
 )
 
@@ -170,3 +173,84 @@
 		t.Errorf("%d keys served, %d of %d processes killed: the test has shown little", len(results), len(s.killed), rounds)
 	}
 }
+
+// TestHandOverWithLedger: a process starts while the one that it replaces still has the ledger; keys that ran before or
+// run meanwhile, in either, run once, and all are on record in the end: a process that finds nothing but the ledger
+// answers their repeats.
+func TestHandOverWithLedger(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "ledger")
+	s := newSharing(t, fmt.Sprintf("[ledger]\ndir = %q\n", folder))
+	id := 0
+	ask := func(body string) string {
+		t.Helper()
+		b := standin.Dial(t, s.address)
+		defer b.Close()
+		id++
+		b.Do(id, "book", req(id), time.Now(), body, ",opkey="+body)
+		got := b.Read()
+		for len(got) > 1 && got[1] == "FIN" {
+			got = b.Read()
+		}
+		if len(got) < 4 || got[1] != "ACK" {
+			t.Fatalf("%s: %q", body, got)
+		}
+		return got[3]
+	}
+	onRecord := func(body string) {
+		t.Helper()
+		for until := time.Now().Add(standin.Patience); ; time.Sleep(time.Millisecond) {
+			l, err := ledger.Open(disk.Dir(folder), ledger.Options{Limits: limits.ForLedger(1 << 20), ReadOnly: true})
+			if err == nil {
+				has := l.Has([]byte("booking/" + body))
+				l.Close()
+				if has {
+					return
+				}
+			}
+			if time.Now().After(until) {
+				t.Fatalf("%s is not on record: %v", body, err)
+			}
+		}
+	}
+	results := map[string]string{}
+	old, _ := s.start()
+	results["before"] = ask("before")
+	next, _ := s.start()
+	for i := range 12 { // whichever process takes the connection
+		body := fmt.Sprint("both", i)
+		results[body] = ask(body)
+	}
+	again := func() {
+		t.Helper()
+		for body, want := range results {
+			if got := ask(body); got != want {
+				t.Errorf("%s: %q, first %q", body, got, want)
+			}
+			if all, _ := s.runs(body); all != 1 {
+				t.Errorf("%s ran %d times", body, all)
+			}
+		}
+	}
+	again()
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := old.Wait(); err != nil {
+		t.Fatalf("%v:\n%s", err, old.log.String())
+	}
+	results["after"] = ask("after")
+	for body := range results {
+		onRecord(body)
+	}
+	again()
+	next.kill()
+	if err := os.RemoveAll(claimsDir(s.dir, "n1")); err != nil {
+		t.Fatal(err)
+	}
+	s.start()
+	for body := range results {
+		if got := ask(body); got != results[body] {
+			t.Errorf("%s from the record: %q, first %q", body, got, results[body])
+		}
+	}
+}
--- a/cmd/sloehitch/ledger_test.go
+++ b/cmd/sloehitch/ledger_test.go
@@ -290,8 +290,8 @@
 	other := &loaded{platform: s.platform, deploy: &config.Deploy{Ledger: config.Ledger{Dir: filepath.Join(t.TempDir(), "new")}}}
 	s.load = func() (*loaded, error) { return other, nil }
 	s.reload()
-	if s.ledger != nil || !strings.Contains(log.String(), "[ledger]") {
-		t.Errorf("ledger %v; log: %s", s.ledger, log.String())
+	if s.ledger.Load() != nil || !strings.Contains(log.String(), "[ledger]") {
+		t.Errorf("ledger %v; log: %s", s.ledger.Load(), log.String())
 	}
 	if _, err := os.Stat(other.deploy.Ledger.Dir); err == nil {
 		t.Error("the new folder was made")
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -29,7 +29,6 @@
 	"sloehitch/internal/gate"
 	"sloehitch/internal/handover"
 	"sloehitch/internal/ledger"
-	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/metrics"
 	"sloehitch/internal/node"
@@ -39,6 +38,7 @@
 	"sloehitch/internal/runtime"
 	"sloehitch/internal/settings"
 	"sloehitch/internal/store"
+	"sloehitch/internal/tandem"
 	"sloehitch/internal/tlskeys"
 	"sloehitch/internal/traces"
 	"sloehitch/internal/uwsgi"
@@ -92,9 +92,12 @@
 	store     *store.Store
 	metrics   atomic.Pointer[metrics.Metrics] // nil where they are off
 	traces    *traces.Traces                  // nil where they are off
-	ledger    *ledger.Store                   // nil where it is off
-	bookings  *bookings.Record                // nil with it
-	claims    *claims.Claims                  // nil but where clients come from an inherited listener and the ledger is off
+	ledger    atomic.Pointer[ledger.Store]    // nil where it is off, or the process that leaves still has it
+	freed     chan *ledger.Store              // it, once that process has let go
+	bookings  *bookings.Record                // nil with it; of the goroutine that runs, once that does
+	claims    *claims.Claims                  // nil but where clients come from an inherited listener
+	tandem    *tandem.Journal                 // nil but where there are both
+	before    []node.Booking                  // on record when this process started, for restore
 	servers   *uwsgi.Pool                     // nil where uwsgi is off
 	keys      []*tlskeys.Keys                 // of the uwsgi side
 	closed    atomic.Bool                     // out of service by the operators' word
@@ -124,7 +127,7 @@
 // start wires the parts and sets them going.
 func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
 	p := l.platform
-	d := &daemon{platform: p, name: p.Name, limits: lim, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4),
+	d := &daemon{platform: p, name: p.Name, limits: lim, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4), freed: make(chan *ledger.Store),
 		pulse: directory.New(p.Name, p.Lookup, lim, log)}
 	d.deploy.Store(l.deploy)
 	clock := systemClock{}
@@ -145,10 +148,7 @@
 		d.below = catalogue.New(p.Catalog, lim, log)
 		options.Caller = d.below
 	}
-	if err := d.openLedger(&options); err != nil {
-		return nil, err
-	}
-	if err := d.openClaims(&options, clock); err != nil {
+	if options.Journal, err = d.openRecords(clock); err != nil {
 		return nil, err
 	}
 	d.node = node.New(options)
@@ -185,70 +185,6 @@
 	return d, nil
 }
 
-// openLedger opens the record of bookings where the deployment file names a folder for it.
-func (d *daemon) openLedger(o *node.Options) error {
-	c := d.deploy.Load().Ledger
-	if c.Dir == "" {
-		return nil
-	}
-	every, err := c.Interval()
-	if err != nil {
-		return err
-	}
-	dir, err := disk.MakeDir(c.Dir)
-	if err != nil {
-		return err
-	}
-	if d.ledger, err = ledger.Open(dir, ledger.Options{Limits: limits.ForLedger(c.IndexBytes()), Flush: every, Log: d.log}); err != nil {
-		return fmt.Errorf("ledger: %w", err)
-	}
-	d.bookings = bookings.New(d.ledger, node.Spare(d.limits), d.limits.LogEvery, d.log)
-	o.Journal = d.bookings
-	r := d.ledger.Recovery()
-	d.log.Info("ledger opened", "folder", c.Dir, "keys", r.Keys, "records", r.Records, "segments", r.Segments, "torn_bytes", r.Torn, "took", r.Took)
-	return nil
-}
-
-// openClaims keeps the keys of bookings in a folder of $TMPDIR where the platform holds the clients' listener, so
-// that an old and a new process that take clients at once never both run a key. The ledger, where it is on, does
-// that and more.
-func (d *daemon) openClaims(o *node.Options, clock systemClock) (err error) {
-	if o.Journal != nil || os.Getenv("GW_ACCEPT_FD") == "" {
-		return nil
-	}
-	dir := claimsDir(os.TempDir(), d.name)
-	d.claims, err = claims.Open(claims.Options{Dir: dir, Spare: node.Spare(d.limits), Now: clock.Now,
-		Limits: limits.ForClaims(d.platform.Caps.MemoryMB), Log: d.log})
-	if err != nil {
-		return err
-	}
-	o.Journal = d.claims
-	d.log.Info("keys claimed in a folder shared with the process that comes next", "folder", dir)
-	return nil
-}
-
-// restore tells the core what ran before a restart.
-func (d *daemon) restore() error {
-	if d.bookings == nil {
-		return nil
-	}
-	if err := d.bookings.All(d.node.Restore); err != nil {
-		return errors.Join(fmt.Errorf("ledger: %w", err), d.ledger.Close())
-	}
-	return nil
-}
-
-// closeRecords writes what is still on its way to the ledger, and tells other processes what is still to be told.
-func (d *daemon) closeRecords() (err error) {
-	if d.claims != nil {
-		err = d.claims.Close()
-	}
-	if d.ledger != nil {
-		err = errors.Join(err, d.ledger.Close())
-	}
-	return err
-}
-
 // clients is the listener for balancers: the one that the platform holds and hands down as the descriptor named in
 // $GW_ACCEPT_FD, so that an old and a new process take from the same queue while one replaces the other; without
 // it, a socket of its own on address.
@@ -404,8 +340,8 @@
 		from.Uwsgi = func() (uwsgi.Counts, int) { return d.uwsgi.Totals(), d.uwsgi.Open() }
 		from.Servers = d.servers.Servers
 	}
-	if d.ledger != nil {
-		from.Ledger = d.ledger.Stats
+	if d.deploy.Load().Ledger.Dir != "" {
+		from.Ledger = d.ledgerStats
 	}
 	m := metrics.New(from)
 	d.metrics.Store(m)
@@ -488,15 +424,12 @@
 		case <-sweep.C:
 			d.node.Sweep()
 			d.front.Sweep()
-			if d.bookings != nil {
-				d.bookings.Retry()
-			}
-			if d.claims != nil {
-				d.claims.Sweep()
-			}
+			d.sweepRecords()
 			d.leaveLearned(false)
 		case <-share.C:
 			d.share()
+		case s := <-d.freed:
+			d.attach(s)
 		case <-keys.C:
 			for _, k := range d.keys {
 				k.Check()
@@ -543,6 +476,8 @@
 			return
 		case <-d.hup: // what is still owed may need the new addresses
 			d.reload()
+		case s := <-d.freed:
+			d.attach(s)
 		case <-grace:
 			shut = true
 			for _, ln := range d.listeners {
@@ -656,8 +591,8 @@
 	if d.claims != nil {
 		args = append(args, "claims", d.claims.Stats())
 	}
-	if d.ledger != nil {
-		t := d.ledger.Stats()
+	if d.ledger.Load() != nil {
+		t := d.ledgerStats()
 		args = append(args, "ledger_keys", t.Keys, "ledger_bytes", t.Disk, "ledger_flushes", t.Flushes, "ledger_broken", t.Broken)
 	}
 	d.log.Info("totals", args...)
