Take time and timers of core and gate from one clock, and add a virtual one

Change: internal/clock: Now and AfterFunc; System is the machine's, Virtual one that is moved, with calls of one instant in the order in which they were asked for, and calls that are taken back only marked and swept together. The gate's goroutine and its timers become turns that either its own goroutine or the clock calls (gate.Options.Carry); a timer that was armed anew is void by its number. Not taken: a goroutine for each gate in the emulator (its order would be the scheduler's).

Left for later slices: pool, links and fronts still use the machine's clock.

Test: order at one instant, ten thousand calls taken back, a model test against a plain list.

--- a/cmd/sloehitch/handover.go
+++ b/cmd/sloehitch/handover.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sloehitch/internal/claims"
+	"sloehitch/internal/clock"
 	"sloehitch/internal/config"
 	"sloehitch/internal/handover"
 	"sloehitch/internal/handover/keep"
@@ -58,7 +59,7 @@
 	if !ok {
 		return
 	}
-	s := handover.Snapshot{Node: d.name, Process: os.Getpid(), Made: systemClock{}.Now(), Leaving: leaving,
+	s := handover.Snapshot{Node: d.name, Process: os.Getpid(), Made: clock.System{}.Now(), Leaving: leaving,
 		Settings: handover.Settings(d.platform.Logic), Learned: l}
 	if err := keep.Write(keep.Path(os.TempDir(), d.name), s); err != nil {
 		d.log.Warn("what was learned is not left for the next process", "error", err)
@@ -110,7 +111,7 @@
 	if c.Dir == "" {
 		c.Dir = os.TempDir()
 	}
-	now := systemClock{}.Now()
+	now := clock.System{}.Now()
 	path := keep.Path(c.Dir, p.Name)
 	s, err := keep.Read(path)
 	switch {
--- a/cmd/sloehitch/records.go
+++ b/cmd/sloehitch/records.go
@@ -8,6 +8,7 @@
 
 	"sloehitch/internal/bookings"
 	"sloehitch/internal/claims"
+	"sloehitch/internal/clock"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/limits"
@@ -17,9 +18,9 @@
 
 // openRecords opens what the configuration names to keep keyed requests in, and returns it as the core's journal: the
 // ledger, claims shared with the process that comes next (where the platform holds the clients' listener), both, or nil.
-func (d *daemon) openRecords(clock systemClock) (node.Journal, error) {
+func (d *daemon) openRecords(system clock.System) (node.Journal, error) {
 	if os.Getenv("GW_ACCEPT_FD") != "" {
-		if err := d.openClaims(clock); err != nil {
+		if err := d.openClaims(system); err != nil {
 			return nil, err
 		}
 	}
@@ -42,9 +43,9 @@
 }
 
 // openClaims joins the processes that share keys.
-func (d *daemon) openClaims(clock systemClock) (err error) {
+func (d *daemon) openClaims(system clock.System) (err error) {
 	dir := claimsDir(os.TempDir(), d.name)
-	d.claims, err = claims.Open(claims.Options{Dir: dir, Spare: node.Spare(d.limits), Now: clock.Now,
+	d.claims, err = claims.Open(claims.Options{Dir: dir, Spare: node.Spare(d.limits), Now: system.Now,
 		Limits: limits.ForClaims(d.platform.Caps.MemoryMB), Log: d.log})
 	if err != nil {
 		return err
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -23,6 +23,7 @@
 	"sloehitch/internal/bookings"
 	"sloehitch/internal/catalogue"
 	"sloehitch/internal/claims"
+	"sloehitch/internal/clock"
 	"sloehitch/internal/config"
 	"sloehitch/internal/directory"
 	"sloehitch/internal/endpoint"
@@ -48,12 +49,6 @@
 
 type serveCmd struct{ files }
 
-// systemClock is the system's Unix clock.
-type systemClock struct{}
-
-// Now drops the monotonic reading, so that spans follow the Unix clock too.
-func (systemClock) Now() time.Time { return time.Now().Round(0) }
-
 func (c *serveCmd) Run(log *slog.Logger) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // first of all: left alone it ends the process
@@ -130,8 +125,8 @@
 	d := &daemon{platform: p, name: p.Name, limits: lim, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4), freed: make(chan *ledger.Store),
 		pulse: directory.New(p.Name, p.Lookup, lim, log)}
 	d.deploy.Store(l.deploy)
-	clock := systemClock{}
-	gateOptions := gate.Options{Seed: seed(p.Seed), Now: clock.Now, Patience: lim.Gauges, Learned: d.learned(clock.Now())}
+	system := clock.System{}
+	gateOptions := gate.Options{Seed: seed(p.Seed), Clock: system, Patience: lim.Gauges, Learned: d.learned(system.Now())}
 	var g *gate.Gate
 	if p.Runtime != "" {
 		d.link = runtime.New(runtime.Options{Address: p.Runtime, Meters: p.Names.Meters, Limits: lim, Log: log,
@@ -143,12 +138,12 @@
 		return nil, err
 	}
 	d.gate = g
-	options := node.Options{Settings: p.Logic, Gate: g, Clock: clock, Limits: lim, Log: log}
+	options := node.Options{Settings: p.Logic, Gate: g, Clock: system, Limits: lim, Log: log}
 	if p.Catalog != "" {
 		d.below = catalogue.New(p.Catalog, lim, log)
 		options.Caller = d.below
 	}
-	if options.Journal, err = d.openRecords(clock); err != nil {
+	if options.Journal, err = d.openRecords(system); err != nil {
 		return nil, err
 	}
 	d.node = node.New(options)
--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,122 @@
+package clock
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.UnixMilli(1764576000000)
+
+// TestOrder: calls come by time, those of one instant as they were asked for; one asked for 0 from within a call comes
+// after those that stand at that instant.
+func TestOrder(t *testing.T) {
+	v := NewVirtual(start)
+	var got []string
+	say := func(s string) func() {
+		return func() { got = append(got, fmt.Sprint(s, " ", v.Now().Sub(start))) }
+	}
+	v.AfterFunc(2*time.Second, say("c"))
+	v.AfterFunc(time.Second, func() {
+		say("a")()
+		v.AfterFunc(0, say("a2"))
+		v.AfterFunc(-time.Hour, say("a3"))
+	})
+	b := v.AfterFunc(time.Second, say("b"))
+	late := v.AfterFunc(time.Second, say("late"))
+	off := v.AfterFunc(time.Second, say("off"))
+	if !off.Stop() || off.Stop() || !late.Reset(2*time.Second) {
+		t.Error("a call that was to come")
+	}
+	v.Run(start.Add(time.Second))
+	if b.Stop() || v.Pending() != 2 {
+		t.Errorf("a call that came can't be stopped; %d pending", v.Pending())
+	}
+	if b.Reset(3 * time.Second) {
+		t.Error("it was active")
+	}
+	v.Run(start.Add(time.Minute))
+	want := []string{"a 1s", "b 1s", "a2 1s", "a3 1s", "c 2s", "late 2s", "b 4s"}
+	if !slices.Equal(got, want) || v.Now() != start.Add(time.Minute) || v.Step() {
+		t.Errorf("got %v, want %v; now %v", got, want, v.Now().Sub(start))
+	}
+}
+
+// TestManyStopped: ten thousand calls taken back at once are gone, and none of the others.
+func TestManyStopped(t *testing.T) {
+	v := NewVirtual(start)
+	came := 0
+	var off []Timer
+	for i := range 20000 {
+		c := v.AfterFunc(time.Duration(i%100)*time.Millisecond, func() { came++ })
+		if i%2 == 0 {
+			off = append(off, c)
+		}
+	}
+	for _, c := range off {
+		c.Stop()
+	}
+	if v.Pending() != 10000 || len(v.calls) > 15000 {
+		t.Errorf("%d pending, %d kept", v.Pending(), len(v.calls))
+	}
+	for v.Step() {
+	}
+	if came != 10000 {
+		t.Errorf("%d came", came)
+	}
+}
+
+// TestModel: whatever is asked for, taken back and put off, what comes is what a plain list says.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewVirtual(start)
+		type planned struct {
+			at    time.Duration
+			order int
+			off   bool
+		}
+		var timers []Timer
+		var plan []planned
+		var got []int
+		order := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			d := time.Duration(rapid.IntRange(0, 9).Draw(t, "d"))
+			order++
+			if i := rapid.IntRange(0, len(timers)).Draw(t, "which"); i == len(timers) {
+				timers = append(timers, v.AfterFunc(d, func() { got = append(got, i) }))
+				plan = append(plan, planned{at: d, order: order})
+			} else if rapid.Bool().Draw(t, "off") {
+				if timers[i].Stop() == plan[i].off {
+					t.Fatal("Stop")
+				}
+				plan[i].off = true
+			} else {
+				timers[i].Reset(d)
+				plan[i] = planned{at: d, order: order}
+			}
+		}
+		var want []int
+		for i, p := range plan {
+			if !p.off {
+				want = append(want, i)
+			}
+		}
+		slices.SortFunc(want, func(a, b int) int {
+			if plan[a].at != plan[b].at {
+				return int(plan[a].at - plan[b].at)
+			}
+			return plan[a].order - plan[b].order
+		})
+		if pending := v.Pending(); pending != len(want) {
+			t.Fatalf("%d pending, want %d", pending, len(want))
+		}
+		for v.Step() {
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("came %v, want %v", got, want)
+		}
+	})
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sloehitch/internal/clock"
 	"sloehitch/logic"
 )
 
@@ -79,8 +80,11 @@
 
 // Options are what a gate needs beside the module's settings.
 type Options struct {
-	Seed uint64
-	Now  func() time.Time
+	Seed  uint64
+	Clock clock.Clock
+	// Carry, if not nil, is given each decision, in turns that the clock calls: the gate has no goroutine of its own then, all
+	// calls to it must come from the clock's, and Pick is not for use. It is how a virtual clock runs a gate.
+	Carry func(Decision)
 	// Ask requests the gauges; they are to come through Tick. It must not block.
 	Ask func()
 	// Patience is how long a due tick waits for the gauges. While the machine stands still they do not come,
@@ -105,6 +109,10 @@
 
 	wake    chan struct{}
 	gauges  chan Gauges
+	fire    chan uint64 // numbers of timers that are due
+	timer   clock.Timer
+	timers  uint64 // the number of the newest; those before it are void
+	soon    bool   // with Carry: a turn is on its way
 	done    chan struct{}
 	pending uint64 // tag of the timer that waits for gauges
 	asked   bool
@@ -126,10 +134,12 @@
 		server.Adopt(*opts.Learned)
 	}
 	g := &Gate{server: server, opts: opts, wake: make(chan struct{}, 1), gauges: make(chan Gauges, 1),
-		done: make(chan struct{}), lastG: Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}}
+		fire: make(chan uint64), done: make(chan struct{}), lastG: Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}}
 	g.ready = sync.NewCond(&g.mu)
 	g.signal.Store(math.Float64bits(math.NaN()))
-	go g.run()
+	if opts.Carry == nil {
+		go g.run()
+	}
 	return g, nil
 }
 
@@ -140,10 +150,7 @@
 		g.in = append(g.in, n.event)
 	}
 	g.mu.Unlock()
-	select {
-	case g.wake <- struct{}{}:
-	default:
-	}
+	g.turn()
 }
 
 // Retune has the module take new settings before any news reported after this call; cfg must have passed
@@ -152,10 +159,7 @@
 	g.mu.Lock()
 	g.retune = &cfg
 	g.mu.Unlock()
-	select {
-	case g.wake <- struct{}{}:
-	default:
-	}
+	g.turn()
 }
 
 // Share has the module use a part of the cores and the memory, above 0 and at most 1: another process of this node has
@@ -164,23 +168,20 @@
 	g.mu.Lock()
 	g.share = part
 	g.mu.Unlock()
-	select {
-	case g.wake <- struct{}{}:
-	default:
-	}
+	g.turn()
 }
 
 // Learned is what the module has found out so far. It waits for the module's turn, which is short; false: the gate is
 // closed.
 func (g *Gate) Learned() (logic.Learned, bool) {
+	if g.opts.Carry != nil {
+		return g.server.Learned(), true
+	}
 	out := make(chan logic.Learned, 1)
 	g.mu.Lock()
 	g.learn = append(g.learn, out)
 	g.mu.Unlock()
-	select {
-	case g.wake <- struct{}{}:
-	default:
-	}
+	g.turn()
 	select {
 	case l := <-out:
 		return l, true
@@ -191,6 +192,10 @@
 
 // Tick hands over the gauges that Ask requested. Gauges that nothing waits for are dropped.
 func (g *Gate) Tick(m Gauges) {
+	if g.opts.Carry != nil {
+		g.opts.Clock.AfterFunc(0, func() { g.measured(m) })
+		return
+	}
 	select {
 	case g.gauges <- m:
 	default:
@@ -237,33 +242,79 @@
 // Idle is how long an unused connection may stay; 0 for as long as its caller likes.
 func (g *Gate) Idle() time.Duration { return time.Duration(g.idle.Load()) }
 
+// turn has what was reported taken in soon.
+func (g *Gate) turn() {
+	if g.opts.Carry == nil {
+		select {
+		case g.wake <- struct{}{}:
+		default:
+		}
+		return
+	}
+	if !g.soon {
+		g.soon = true
+		g.opts.Clock.AfterFunc(0, func() {
+			g.soon = false
+			g.step(false)
+		})
+	}
+}
+
 func (g *Gate) run() {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
 	for {
-		var due bool
 		select {
 		case <-g.done:
 			return
 		case <-g.wake:
+			g.step(false)
 		case m := <-g.gauges:
-			g.lastG = m
-			due = g.asked
-		case <-timer.C:
-			if !g.asked && g.opts.Ask != nil {
-				g.asked = true
-				timer.Reset(g.opts.Patience)
-				g.opts.Ask()
-				continue
+			g.measured(m)
+		case n := <-g.fire:
+			if n == g.timers {
+				g.rung()
 			}
-			due = true
 		}
-		g.step(due, timer)
 	}
 }
 
+// arm has rung called once d has passed, in place of what was armed before.
+func (g *Gate) arm(d time.Duration) {
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+	g.timers++
+	n := g.timers
+	g.timer = g.opts.Clock.AfterFunc(d, func() {
+		if g.opts.Carry != nil {
+			g.rung()
+			return
+		}
+		select {
+		case g.fire <- n:
+		case <-g.done:
+		}
+	})
+}
+
+// rung takes a timer that is due: the gauges are asked for, or were and did not come.
+func (g *Gate) rung() {
+	if !g.asked && g.opts.Ask != nil {
+		g.asked = true
+		g.arm(g.opts.Patience)
+		g.opts.Ask()
+		return
+	}
+	g.step(true)
+}
+
+// measured takes gauges.
+func (g *Gate) measured(m Gauges) {
+	g.lastG = m
+	g.step(g.asked)
+}
+
 // step takes in what has come and hands out what the module decides on it.
-func (g *Gate) step(due bool, timer *time.Timer) {
+func (g *Gate) step(due bool) {
 	g.mu.Lock()
 	events, closed, retune, learn, share := g.in, g.closed, g.retune, g.learn, g.share
 	g.in, g.retune, g.learn, g.share = nil, nil, nil, 0
@@ -290,19 +341,28 @@
 		return
 	}
 	// The module's clock only advances, whatever is done to the system's.
-	g.last = max(g.last, logic.Micros(g.opts.Now().UnixMicro()))
+	g.last = max(g.last, logic.Micros(g.opts.Clock.Now().UnixMicro()))
 	actions := g.server.Step(g.last, events)
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	var out []Decision
 	for _, a := range actions {
 		if a.Kind == logic.ActTimer {
 			g.pending = a.Tag
-			timer.Reset(time.Duration(a.Span) * time.Microsecond)
+			g.arm(time.Duration(a.Span) * time.Microsecond)
 			continue
 		}
-		g.carry(a)
+		if d, ok := g.decision(a); ok {
+			out = append(out, d)
+		}
 	}
-	if len(g.out) > 0 {
+	if g.opts.Carry != nil {
+		for _, d := range out {
+			g.opts.Carry(d)
+		}
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.out = append(g.out, out...); len(g.out) > 0 {
 		g.ready.Broadcast()
 	}
 }
@@ -311,7 +371,8 @@
 	logic.ActStop: Stop, logic.ActJoin: Join, logic.ActKeepKey: Keep, logic.ActForgetKey: Forget,
 	logic.ActCall: Call, logic.ActGoOn: GoOn}
 
-func (g *Gate) carry(a logic.Action) {
+// decision is what an action says of a request; false: it says something of the server, which is kept.
+func (g *Gate) decision(a logic.Action) (Decision, bool) {
 	switch a.Kind {
 	case logic.ActSay:
 		g.signal.Store(math.Float64bits(a.Value))
@@ -320,7 +381,7 @@
 	case logic.ActCloseIdle:
 		g.idle.Store(int64(a.Span) * int64(time.Microsecond))
 	default:
-		g.out = append(g.out, Decision{Verb: verbs[a.Kind], ID: uint64(a.ID),
-			Span: time.Duration(a.Span) * time.Microsecond, Last: a.Last})
+		return Decision{Verb: verbs[a.Kind], ID: uint64(a.ID), Span: time.Duration(a.Span) * time.Microsecond, Last: a.Last}, true
 	}
+	return Decision{}, false
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"sloehitch/internal/clock"
 	"sloehitch/logic"
 )
 
@@ -12,7 +13,7 @@
 
 func open(t *testing.T, o Options) *Gate {
 	t.Helper()
-	o.Now = time.Now
+	o.Clock = clock.System{}
 	g, err := New(settings, o)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -79,7 +79,7 @@
 		return
 	}
 	wait := min(n.opts.Limits.RecordWait, r.due.Sub(n.opts.Clock.Now()))
-	r.wait = time.AfterFunc(wait, func() { n.recorded(num, errSlow) })
+	r.wait = n.opts.Clock.AfterFunc(wait, func() { n.recorded(num, errSlow) })
 }
 
 // recorded goes on with a request whose start is durable, or can't be made so.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"sloehitch/internal/clock"
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/lograte"
@@ -72,16 +73,13 @@
 	Quit(id string)
 }
 
-// Clock tells the time by the system's Unix clock.
-type Clock interface{ Now() time.Time }
-
 // Options are what a node is made of.
 type Options struct {
 	Settings logic.Settings
 	Gate     *gate.Gate
 	Caller   Caller
 	Journal  Journal // nil: what runs is known in memory only
-	Clock    Clock
+	Clock    clock.Clock
 	Limits   limits.Limits
 	Log      *slog.Logger
 }
@@ -107,8 +105,8 @@
 	gone    bool
 	reply   func(Answer)
 	due     time.Time
-	guard   *time.Timer
-	wait    *time.Timer // starting: for how long
+	guard   clock.Timer
+	wait    clock.Timer // starting: for how long
 	entered time.Time   // when the module was told of it
 	paused  bool
 	begun   bool   // part of its response is with the caller
@@ -243,12 +241,12 @@
 		if !ok {
 			return
 		}
-		n.decided(d)
+		n.Decide(d)
 	}
 }
 
-// decided carries out one decision.
-func (n *Node) decided(d gate.Decision) {
+// Decide carries out one decision of the gate: for a host whose gate carries its decisions by itself (gate.Options.Carry).
+func (n *Node) Decide(d gate.Decision) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r := n.byNum[d.ID]; r != nil {
@@ -301,7 +299,7 @@
 		}
 	}
 	n.byID[q.ID] = r
-	r.guard = time.AfterFunc(r.due.Sub(now)+n.grace(), func() { n.overdue(r) })
+	r.guard = n.opts.Clock.AfterFunc(r.due.Sub(now)+n.grace(), func() { n.overdue(r) })
 	if r.Key != "" && !n.keys.ran(r) && n.abroad(r) {
 		return
 	}
@@ -492,7 +490,7 @@
 		if !quiet {
 			n.opts.Gate.Report(gate.Leaving(left))
 		}
-		time.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
+		n.opts.Clock.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,16 +6,20 @@
 	"testing"
 	"time"
 
+	"sloehitch/internal/clock"
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/standin"
 	"sloehitch/logic"
 )
 
-// clock stands still until it is moved.
-type clock struct{ now time.Time }
+// still stands until it is moved; its timers are the system's.
+type still struct {
+	clock.System
+	now time.Time
+}
 
-func (c *clock) Now() time.Time { return c.now }
+func (c *still) Now() time.Time { return c.now }
 
 // recorder is a runner that notes what it was asked for.
 type recorder struct{ asked []string }
@@ -35,7 +39,7 @@
 // bench is a node whose decisions a test makes itself: Serve is not running, and the module's word is ignored.
 type bench struct {
 	*Node
-	clock   *clock
+	clock   *still
 	work    *recorder
 	answers map[string][]string
 }
@@ -45,8 +49,8 @@
 	cfg := logic.Settings{Cores: 2, MemoryKB: 1e6, CrowdFactor: 5, AnswerGrace: 80000, DrainGrace: 2000000, Classes: []logic.Class{
 		{Name: "read", Aim: 1e6, Deadline: 60e6, Worth: 1},
 		{Name: "book", Aim: 1e6, Deadline: 60e6, Worth: 3, Effect: logic.Keyed, Window: 10e6}}}
-	c := &clock{now: time.UnixMilli(1764576000000)}
-	g, err := gate.New(cfg, gate.Options{Now: c.Now})
+	c := &still{now: time.UnixMilli(1764576000000)}
+	g, err := gate.New(cfg, gate.Options{Clock: c})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -221,7 +225,7 @@
 // TestGoneAsItStarts: a caller that leaves while the module decides to start its request takes no place from others for good.
 func TestGoneAsItStarts(t *testing.T) {
 	b := newBench(t)
-	g, err := gate.New(b.opts.Settings, gate.Options{Now: b.clock.Now})
+	g, err := gate.New(b.opts.Settings, gate.Options{Clock: b.clock})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"sloehitch/internal/clock"
 	"sloehitch/internal/endpoint"
 	"sloehitch/internal/gate"
 	"sloehitch/internal/limits"
@@ -98,11 +99,11 @@
 	if change != nil {
 		change(&o, &po)
 	}
-	g, err := gate.New(cfg, gate.Options{Now: time.Now})
+	g, err := gate.New(cfg, gate.Options{Clock: clock.System{}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := node.New(node.Options{Settings: cfg, Gate: g, Clock: clock{}, Limits: o.Limits, Log: standin.Quiet})
+	n := node.New(node.Options{Settings: cfg, Gate: g, Clock: clock.System{}, Limits: o.Limits, Log: standin.Quiet})
 	go n.Serve()
 	t.Cleanup(g.Close)
 	po.Limits = o.Limits
@@ -119,10 +120,6 @@
 	return &rig{f, p, n, ln.Addr().String(), o.Limits}
 }
 
-type clock struct{}
-
-func (clock) Now() time.Time { return time.Now() }
-
 func (r *rig) dial(t testing.TB) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", r.address)
