--- a/internal/clock/virtual.go
+++ b/internal/clock/virtual.go
@@ -9,19 +9,20 @@
 // they were asked for, so the same calls in the same order give the same course every time. It is for one goroutine: the one
 // that moves it, from which all calls come and which alone may ask for more.
 type Virtual struct {
-	now   time.Time
+	begun time.Time
+	now   int64  // nanoseconds since then
 	asked uint64 // calls asked for so far
 	calls queue
 	dead  int // of calls: taken back
 }
 
 // NewVirtual returns a clock that stands at the given time.
-func NewVirtual(now time.Time) *Virtual { return &Virtual{now: now.Round(0)} }
+func NewVirtual(now time.Time) *Virtual { return &Virtual{begun: now.Round(0)} }
 
 // call is one call that is to come.
 type call struct {
 	clock *Virtual
-	at    time.Time
+	at    int64 // nanoseconds since the clock's beginning
 	order uint64
 	f     func()
 	index int // in the queue; -1: not there
@@ -29,7 +30,7 @@
 }
 
 // Now is the time at which the clock stands.
-func (v *Virtual) Now() time.Time { return v.now }
+func (v *Virtual) Now() time.Time { return v.begun.Add(time.Duration(v.now)) }
 
 // AfterFunc has f called when the clock has been moved d further: not before the caller returns, even for a d of 0.
 func (v *Virtual) AfterFunc(d time.Duration, f func()) Timer {
@@ -41,7 +42,7 @@
 func (c *call) ask(d time.Duration) {
 	v := c.clock
 	v.asked++
-	c.at, c.order, c.off = v.now.Add(max(0, d)), v.asked, false
+	c.at, c.order, c.off = v.now+int64(max(0, d)), v.asked, false
 	heap.Push(&v.calls, c)
 }
 
@@ -110,7 +111,7 @@
 	if len(v.calls) == 0 {
 		return time.Time{}, false
 	}
-	return v.calls[0].at, true
+	return v.begun.Add(time.Duration(v.calls[0].at)), true
 }
 
 // Run moves the clock to the given time and makes all calls until then, those of that instant included.
@@ -122,9 +123,7 @@
 		}
 		v.Step()
 	}
-	if until.After(v.now) {
-		v.now = until.Round(0)
-	}
+	v.now = max(v.now, int64(until.Sub(v.begun)))
 }
 
 // Pending is the number of calls that are to come.
@@ -135,10 +134,10 @@
 
 func (q queue) Len() int { return len(q) }
 func (q queue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
+	if q[i].at == q[j].at {
 		return q[i].order < q[j].order
 	}
-	return q[i].at.Before(q[j].at)
+	return q[i].at < q[j].at
 }
 func (q queue) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,268 @@
+package emulator
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/node"
+)
+
+// queueing is one node whose callers never give up: a model of queueing theory.
+func queueing(cores int, load float64, sizes Sizes, policy string, length time.Duration) World {
+	make, err := Policies(policy, 0)
+	if err != nil {
+		panic(err)
+	}
+	return World{Seed: 1, Length: length, WarmUp: length / 100, Nodes: 1, Cores: cores, Speed: 1, Load: load, Balancers: 1, Habit: RoundRobin,
+		MemoryKB: 1e9, Crowd: 1e6, Policy: make, Classes: []Class{{Name: "x", Share: 1, Work: sizes, Aim: length, Deadline: length, Worth: 1}}}
+}
+
+// erlangC is the chance that who comes has to wait (M/M/c).
+func erlangC(c int, load float64) float64 {
+	a := load * float64(c)
+	sum, term := 0.0, 1.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	wait := term / (1 - load)
+	return wait / (sum + wait)
+}
+
+var long = flag.Bool("emulator.long", false, "hold the model against theory over runs long enough for 2% (minutes)")
+
+// TestTheory: the model keeps to what is known of queues, and to Little's law: within 2% over the long runs that
+// -emulator.long makes, within 6% over the short ones.
+func TestTheory(t *testing.T) {
+	length, seeds, within := 600*time.Second, uint64(1), 0.06
+	if *long {
+		length, seeds, within = 20000*time.Second, 4, 0.02
+	}
+	exp := Sizes{Mean: 0.01, Kind: "exponential"}
+	wide := Sizes{Mean: 0.01, CV: 1.5, Kind: "lognormal"}
+	for _, c := range []struct {
+		name string
+		w    World
+		want float64 // mean time in the system, in seconds
+	}{
+		{"M/M/1 at 50%", queueing(1, 0.5, exp, "fifo", length), 0.01 / (1 - 0.5)},
+		{"M/M/1 at 75%", queueing(1, 0.75, exp, "fifo", length), 0.01 / (1 - 0.75)},
+		{"M/M/4 at 75%", queueing(4, 0.75, exp, "fifo", length/4), 0.01 + erlangC(4, 0.75)*0.01/(4*(1-0.75))},
+		{"M/M/1 shared at 60%", queueing(1, 0.6, exp, "none", length), 0.01 / (1 - 0.6)},
+		{"M/G/1 shared at 60%", queueing(1, 0.6, wide, "none", length), 0.01 / (1 - 0.6)},
+		{"M/G/1 at 50% (Pollaczek-Khinchine)", queueing(1, 0.5, wide, "fifo", length), 0.01 + 0.5*0.01*(1+wide.squaredCV())/(2*(1-0.5))},
+		{"M/D/1 at 60% (Pollaczek-Khinchine)", queueing(1, 0.6, Sizes{Mean: 0.01}, "fifo", length), 0.01 + 0.6*0.01/(2*(1-0.6))},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			got := 0.0
+			for seed := range seeds {
+				c.w.Seed = seed + 1
+				r, err := Play(c.w)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got += r.Classes[0].Latency.Mean() / 1e6 / float64(seeds)
+				if math.Abs(r.Utilization/c.w.Load-1) > within {
+					t.Errorf("%.3f of the cores used at a load of %.2f", r.Utilization, c.w.Load)
+				}
+				if math.Abs(r.Mean/r.Little-1) > 1e-6 {
+					t.Errorf("%.6f in the system by the clock, %.6f by Little's law", r.Mean, r.Little)
+				}
+			}
+			off := got/c.want - 1
+			t.Logf("%.3f ms in the system, %.3f by theory (%+.1f%%)", got*1e3, c.want*1e3, 100*off)
+			if math.Abs(off) > within {
+				t.Errorf("%.3f ms in the system, want %.3f (%+.1f%%)", got*1e3, c.want*1e3, 100*off)
+			}
+		})
+	}
+}
+
+// clinic is a small fleet like the brief's.
+func clinic(seed uint64, load float64, policy string) World {
+	make, err := Policies(policy, 2)
+	if err != nil {
+		panic(err)
+	}
+	return World{Seed: seed, Length: 30 * time.Second, WarmUp: 5 * time.Second, Nodes: 4, Cores: 6, Speed: 1, Thrash: 0.3, ThrashAt: 3, Crowd: 5,
+		MemoryKB: 1e5, Hop: 500 * time.Microsecond, Load: load, Burst: 0.4, Every: 4 * time.Second, Balancers: 3, Habit: LeastOpen, Retries: 1,
+		Backoff: 20 * time.Millisecond, Heed: true, Policy: make, Classes: []Class{
+			{Name: "slot-search", Share: 0.66, Work: Sizes{0.05, 1, "lognormal"}, Aim: 800 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1, HintCV: 0.3},
+			{Name: "book", Share: 0.34, Work: Sizes{0.08, 1, "lognormal"}, Aim: 1200 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Keyed: true, Window: 10 * time.Second, HintCV: 0.3}}}
+}
+
+// row is all that a run comes to, as text.
+func row(r *Result) string {
+	var b strings.Builder
+	fmt.Fprint(&b, r.Events, r.Utilization, r.Mean, r.Little)
+	for _, c := range r.Classes {
+		fmt.Fprint(&b, " ", c.Offered, c.InAim, c.Late, c.Refused, c.Failed, c.Expired, c.Tries, c.Worth, c.Latency.Mean(), c.Latency.ValueAtQuantile(99))
+	}
+	return b.String()
+}
+
+// TestSameSeed: one seed gives one course, whatever runs beside it; arms that differ in policy alone meet the same
+// requests; all that came is accounted for, and no rule is broken, on a calm, in overload and with faults.
+func TestSameSeed(t *testing.T) {
+	var faulty []Fault
+	for i, kind := range []string{"stall", "slow", "leave"} {
+		faulty = append(faulty, Fault{At: time.Duration(6+3*i) * time.Second, Node: i, Kind: kind, Length: 3 * time.Second, Factor: 0.3})
+	}
+	for _, load := range []float64{0.6, 1.2, 10} {
+		offered := ""
+		for _, policy := range []string{"sloehitch", "none", "fixed"} {
+			w := clinic(7, load, policy)
+			w.Faults, w.Length = faulty, 18*time.Second
+			if load == 10 {
+				w.Length = 9 * time.Second
+			}
+			rows, came := make(chan string, 2), make(chan string, 2)
+			for range 2 {
+				go func() {
+					r, err := Play(w)
+					if err != nil {
+						t.Error(err)
+					}
+					for _, b := range r.Broken {
+						if policy == "sloehitch" { // the others keep no rules
+							t.Error(b)
+							break
+						}
+					}
+					for _, c := range r.Classes {
+						if sum := c.InAim + c.Late + c.Refused + c.Failed + c.Expired; sum != c.Offered {
+							t.Errorf("%s at %.1f: %d offered, %d ended", policy, load, c.Offered, sum)
+						}
+					}
+					rows <- row(r)
+					came <- fmt.Sprint(r.Classes[0].Offered, " ", r.Classes[1].Offered)
+				}()
+			}
+			a, b := <-rows, <-rows
+			if a != b {
+				t.Errorf("%s at %.1f: one seed, two courses:\n%s\n%s", policy, load, a, b)
+			}
+			if c := <-came; offered == "" {
+				offered = c
+			} else if c != offered {
+				t.Errorf("%s at %.1f: %s requests, another policy met %s", policy, load, c, offered)
+			}
+		}
+	}
+}
+
+// spoilt is a server that breaks a rule.
+type spoilt struct {
+	Server
+	site Site
+	rule string
+	seen []*Try
+}
+
+func (s *spoilt) Offer(t *Try, answer func(node.Answer)) {
+	s.seen = append(s.seen, t)
+	switch s.rule {
+	case "lost":
+		if len(s.seen) == 5 {
+			return
+		}
+	case "duplicate":
+		if len(s.seen) == 5 {
+			first := answer
+			answer = func(a node.Answer) { first(a); first(a) }
+		}
+	case "rerun":
+		if t.Key != "" {
+			s.site.Clock.AfterFunc(time.Millisecond, func() { s.site.Ran(t) })
+		}
+	case "refused":
+		if t.Key != "" {
+			s.site.Ran(t)
+			answer(node.Answer{Kind: node.Refused})
+			return
+		}
+	}
+	s.Server.Offer(t, answer)
+}
+
+func (s *spoilt) Leave(left time.Duration) {
+	if s.rule != "drain" {
+		s.Server.Leave(left)
+	}
+}
+
+// TestRulesCatch: a core that breaks a rule is caught, for each rule, with seed, time and what came before.
+func TestRulesCatch(t *testing.T) {
+	for _, rule := range []string{"lost", "duplicate", "rerun", "refused", "drain"} {
+		w := clinic(3, 0.5, "sloehitch")
+		w.Length, w.WarmUp = 8*time.Second, 0
+		w.Faults = []Fault{{At: 2 * time.Second, Node: 0, Kind: "leave", Length: 5 * time.Second}}
+		make := w.Policy
+		w.Policy = func(s Site) Server { return &spoilt{Server: make(s), site: s, rule: rule} }
+		r, err := Play(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Broken) == 0 {
+			t.Errorf("%s: not caught", rule)
+			continue
+		}
+		if b := r.Broken[0]; b.Rule != rule || b.Seed != 3 || b.At <= 0 || len(b.Before) == 0 || !strings.Contains(b.Error(), "seed 3") {
+			t.Errorf("%s: caught as %v", rule, b)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		change func(*World)
+		want   string
+	}{
+		{func(w *World) { w.Nodes = 0 }, "nodes"},
+		{func(w *World) { w.Rate = 5 }, "one of rate and load"},
+		{func(w *World) { w.Habit = "best" }, `no habit "best"`},
+		{func(w *World) { w.Classes[1].Window = 0 }, "window"},
+		{func(w *World) { w.Classes[0].Deadline = 1 }, "deadline"},
+		{func(w *World) { w.Faults = []Fault{{Node: 9, Kind: "stall"}} }, "node 9"},
+		{func(w *World) { w.Faults = []Fault{{Kind: "melt"}} }, `no fault "melt"`},
+		{func(w *World) { w.WarmUp = time.Hour }, "warm-up"},
+	} {
+		w := clinic(1, 0.5, "fixed")
+		c.change(&w)
+		if _, err := Play(w); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%v, want a word on %s", err, c.want)
+		}
+	}
+	if _, err := Policies("best", 0); err == nil || !strings.Contains(err.Error(), "sloehitch, none") {
+		t.Errorf("%v", err)
+	}
+}
+
+// BenchmarkPlay is how fast so many nodes are played that get 230 requests a second together, 93% of what they can do.
+func BenchmarkPlay(b *testing.B) {
+	for _, nodes := range []int{4, 16, 100, 1000} {
+		b.Run(fmt.Sprint(nodes, " nodes"), func(b *testing.B) {
+			events, length := uint64(0), 60*time.Second
+			for range b.N {
+				w := clinic(1, 0.93, "sloehitch")
+				w.Speed = 230 / (w.rate() / float64(w.Nodes) * float64(nodes))
+				for i := range w.Classes { // as slow as the cores are, as patient are the callers
+					w.Classes[i].Aim, w.Classes[i].Deadline = time.Duration(float64(w.Classes[i].Aim)/w.Speed), time.Duration(float64(w.Classes[i].Deadline)/w.Speed)
+				}
+				w.Nodes, w.Length = nodes, length
+				r, err := Play(w)
+				if err != nil {
+					b.Fatal(err)
+				}
+				events += r.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+			b.ReportMetric(length.Seconds()*float64(b.N)/b.Elapsed().Seconds(), "x-real-time")
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,506 @@
+package emulator
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sloehitch/internal/clock"
+	"sloehitch/internal/node"
+	"sloehitch/logic"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// Class is one class of requests in a world.
+type Class struct {
+	Name     string
+	Share    float64       // of the requests
+	Work     Sizes         // in seconds of a core of speed 1
+	Aim      time.Duration // an answer within it has the full worth
+	Deadline time.Duration // the caller gives up then
+	Worth    float64
+	Keyed    bool
+	Window   time.Duration // of a keyed class
+	HintCV   float64       // how rough the callers' word of the work is; 0: exact
+}
+
+// Habit is how a balancer chooses a node.
+type Habit string
+
+const (
+	RoundRobin Habit = "round-robin"
+	LeastOpen  Habit = "least-open"  // of those that it has open itself
+	TwoChoices Habit = "two-choices" // the better of two drawn at random
+	Random     Habit = "random"
+)
+
+// World is one deployment under one load.
+type World struct {
+	Seed     uint64
+	Length   time.Duration // of arrivals; what is open then is let end
+	WarmUp   time.Duration // at the beginning, that counts for nothing
+	Nodes    int
+	Cores    int
+	Speed    float64 // of a core
+	Thrash   float64
+	ThrashAt float64
+	Crowd    float64 // requests on the cores for each core that a node survives, as it is told
+	MemoryKB float64
+	Hop      time.Duration // to a node or back
+
+	Classes []Class
+	Rate    float64 // first tries a second; 0: from Load
+	Load    float64 // of what all cores can do
+	Burst   float64 // how much more comes in the upper half of each BurstEvery, and less in the lower; 0 to 1
+	Every   time.Duration
+
+	Balancers int
+	Habit     Habit
+	Retries   int
+	Backoff   time.Duration // before a further try, where nothing is advised
+	Heed      bool          // advice on when to come back
+
+	Faults []Fault
+	Policy func(Site) Server
+}
+
+// Fault is something that happens to a node.
+type Fault struct {
+	At     time.Duration
+	Node   int
+	Kind   string        // "stall": its cores stand still; "slow": they go at Factor of their speed; "leave": it is told to stop
+	Length time.Duration // of stall and slow; of leave: until it is gone, and takes nothing more
+	Factor float64
+}
+
+// Check errs where a world can't be played.
+func (w *World) Check() error {
+	var errs []error
+	want := func(ok bool, what string) {
+		if !ok {
+			errs = append(errs, errors.New(what))
+		}
+	}
+	want(w.Nodes > 0 && w.Cores > 0 && w.Balancers > 0, "nodes, cores and balancers must be above 0")
+	want(w.Speed > 0 && w.Length > 0, "speed and length must be above 0")
+	want(w.WarmUp >= 0 && w.WarmUp < w.Length, "the warm-up must be shorter than the length")
+	want((w.Rate > 0) != (w.Load > 0), "one of rate and load must be above 0")
+	want(w.Burst >= 0 && w.Burst <= 1 && (w.Burst == 0 || w.Every > 0), "burst must be from 0 to 1, with the time between two above 0")
+	want(w.Policy != nil, "a policy is wanted")
+	want(len(w.Classes) > 0, "classes are wanted")
+	for _, c := range w.Classes {
+		want(c.Share > 0 && c.Work.Mean > 0 && c.Aim > 0 && c.Deadline >= c.Aim, fmt.Sprintf("class %q: share, work and aim must be above 0, and the deadline no sooner than the aim", c.Name))
+		want(!c.Keyed || c.Window > 0, fmt.Sprintf("class %q: a keyed class needs a window above 0", c.Name))
+	}
+	switch w.Habit {
+	case RoundRobin, LeastOpen, TwoChoices, Random:
+	default:
+		want(false, fmt.Sprintf("no habit %q: round-robin, least-open, two-choices or random", w.Habit))
+	}
+	for _, f := range w.Faults {
+		want(f.Node >= 0 && f.Node < w.Nodes, fmt.Sprintf("a fault of node %d, of %d", f.Node, w.Nodes))
+		want(f.Kind == "stall" || f.Kind == "slow" && f.Factor > 0 || f.Kind == "leave", fmt.Sprintf("no fault %q: stall, slow (with a factor above 0) or leave", f.Kind))
+	}
+	_, err := logic.New(w.settings(), 0)
+	return errors.Join(append(errs, err)...)
+}
+
+// answerGrace is how long after its due time an answer is still valid.
+const answerGrace = 80 * time.Millisecond
+
+// settings are what each node is told.
+func (w *World) settings() logic.Settings {
+	s := logic.Settings{Cores: w.Cores, MemoryKB: w.MemoryKB, RunFactor: 4, CrowdFactor: max(1, w.Crowd), CrowdSpan: 1500000, Servers: w.Nodes,
+		AnswerGrace: logic.Micros(answerGrace.Microseconds()), DrainGrace: 2000000, Tick: 4000, Stop: logic.StopFreeze, MaxAdvice: 1000000}
+	for _, c := range w.Classes {
+		class := logic.Class{Name: c.Name, Aim: logic.Micros(c.Aim.Microseconds()), Deadline: logic.Micros(c.Deadline.Microseconds()), Worth: c.Worth}
+		if c.Keyed {
+			class.Effect, class.Window = logic.Keyed, logic.Micros(c.Window.Microseconds())
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s
+}
+
+// rate is the first tries a second.
+func (w *World) rate() float64 {
+	if w.Rate > 0 {
+		return w.Rate
+	}
+	work, share := 0.0, 0.0
+	for _, c := range w.Classes {
+		work += c.Share * c.Work.Mean
+		share += c.Share
+	}
+	return w.Load * float64(w.Nodes*w.Cores) * w.Speed / (work / share)
+}
+
+// Tally is what became of one class's requests, those of the warm-up left out.
+type Tally struct {
+	Offered, InAim, Late, Refused, Failed, Expired int // requests; Expired: their callers gave up
+	Tries                                          int
+	Worth                                          float64                 // of those answered within the aim
+	Latency                                        *hdrhistogram.Histogram // microseconds, of those served
+}
+
+// Result is what became of a world.
+type Result struct {
+	Classes     []Tally
+	Utilization float64 // of all cores, over the length
+	Mean        float64 // requests in the system: by the clock, over the length
+	Little      float64 // the same by Little's law: all requests' time in the system over the length
+	Events      uint64
+	Broken      []*Broken
+}
+
+// Goodput is the worth answered in time over the worth offered.
+func (r *Result) Goodput(w *World) float64 {
+	got, offered := 0.0, 0.0
+	for i, t := range r.Classes {
+		got += t.Worth
+		offered += float64(t.Offered) * w.Classes[i].Worth
+	}
+	return got / max(1e-9, offered)
+}
+
+// play is a world while it runs.
+type play struct {
+	*World
+	clock   *clock.Virtual
+	begun   time.Time
+	nodes   []*host
+	callers []*balancer
+	streams Streams
+	result  *Result
+	ids     int
+	listed  []int // room for choose
+
+	open   int // requests in the system
+	area   float64
+	spent  float64
+	marked time.Time
+}
+
+type host struct {
+	name    string
+	machine *Machine
+	server  *rules
+	gone    bool // it takes nothing more
+}
+
+// balancer is one caller of the nodes.
+type balancer struct {
+	number int
+	next   int
+	open   []int
+	random *rand.Rand
+}
+
+// Play plays a world to its end. It errs where the world can't be played; a broken rule is in the result.
+func Play(w World) (*Result, error) {
+	if err := w.Check(); err != nil {
+		return nil, err
+	}
+	begun := time.UnixMilli(1764576000000)
+	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{}}
+	settings := w.settings()
+	for i := range w.Nodes {
+		h := &host{name: fmt.Sprint("n", i), machine: NewMachine(p.clock, w.Cores, w.Speed, w.Thrash, w.ThrashAt)}
+		h.server = &rules{clock: p.clock, settings: settings, name: h.name, seed: w.Seed, begun: begun, open: map[*Try]*watched{}, keys: map[string]time.Time{},
+			broken: func(b *Broken) { p.result.Broken = append(p.result.Broken, b) }}
+		h.server.Server = w.Policy(Site{Clock: p.clock, Machine: h.machine, Settings: settings, Ran: h.server.ran})
+		p.nodes = append(p.nodes, h)
+	}
+	for i := range w.Balancers {
+		p.callers = append(p.callers, &balancer{number: i, open: make([]int, w.Nodes), random: p.streams.Stream(fmt.Sprint("balancer ", i))})
+	}
+	for range w.Classes {
+		p.result.Classes = append(p.result.Classes, Tally{Latency: hdrhistogram.New(1, 600_000_000, 3)})
+	}
+	for _, f := range w.Faults {
+		p.clock.AfterFunc(f.At, func() { p.fault(f) })
+	}
+	p.arrive(p.streams.Stream("arrivals"), p.streams.Stream("sizes"), p.streams.Stream("hints"))
+	end := begun.Add(w.Length)
+	p.run(end)
+	p.mark()
+	p.result.Mean = p.area / w.Length.Seconds()
+	for _, h := range p.nodes {
+		p.result.Utilization += h.machine.Utilization() / float64(w.Nodes)
+	}
+	longest := time.Duration(0)
+	for _, c := range w.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	p.run(end.Add(longest + 10*time.Second)) // what is open ends
+	p.result.Little = p.spent / w.Length.Seconds()
+	return p.result, nil
+}
+
+func (p *play) run(until time.Time) {
+	for {
+		at, any := p.clock.Next()
+		if !any || at.After(until) {
+			break
+		}
+		p.clock.Step()
+		p.result.Events++
+	}
+	p.clock.Run(until)
+}
+
+// mark accounts for the requests in the system until now.
+func (p *play) mark() {
+	now := p.clock.Now()
+	p.area += float64(p.open) * now.Sub(p.marked).Seconds()
+	p.marked = now
+}
+
+// arrive has the next request come, as a Poisson process whose rate may swing.
+func (p *play) arrive(arrivals, sizes, hints *rand.Rand) {
+	most := p.rate() * (1 + p.Burst)
+	p.clock.AfterFunc(time.Duration(arrivals.ExpFloat64()/most*1e9), func() {
+		since := p.clock.Now().Sub(p.begun)
+		if since >= p.Length {
+			return
+		}
+		p.arrive(arrivals, sizes, hints)
+		if rate := p.rate() * p.swing(since); arrivals.Float64()*most < rate { // thinning (Lewis and Shedler, 1979)
+			p.request(sizes, hints)
+		}
+	})
+}
+
+func (p *play) swing(since time.Duration) float64 {
+	if p.Burst == 0 {
+		return 1
+	}
+	if since%p.Every < p.Every/2 {
+		return 1 + p.Burst
+	}
+	return 1 - p.Burst
+}
+
+// request is a client's request, from its arrival until it is answered or its client gives up.
+type request struct {
+	*play
+	try    Try // what all its tries have in common
+	born   time.Time
+	tally  *Tally
+	class  *Class
+	caller *balancer
+	left   int // further tries
+	avoid  int // the node that turned it away last; -1: none
+	ended  bool
+	now    *Try // the try that is open
+	at     *host
+	expiry clock.Timer
+}
+
+func (p *play) request(sizes, hints *rand.Rand) {
+	p.mark()
+	p.open++
+	p.ids++
+	r := &request{play: p, born: p.clock.Now(), left: p.Retries, avoid: -1, caller: p.callers[p.ids%len(p.callers)]}
+	class := p.drawClass(sizes)
+	r.class = &p.Classes[class]
+	work := r.class.Work.Draw(sizes)
+	hint := work
+	if r.class.HintCV > 0 {
+		hint *= Sizes{Mean: 1, CV: r.class.HintCV, Kind: "lognormal"}.Draw(hints)
+	}
+	r.try = Try{ID: fmt.Sprint("r", p.ids), Class: class, Tenant: -1, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
+	if r.class.Keyed {
+		r.try.Key = r.try.ID
+	}
+	if r.born.Sub(p.begun) >= p.WarmUp {
+		r.tally = &p.result.Classes[class]
+		r.tally.Offered++
+	} else {
+		r.tally = &Tally{Latency: hdrhistogram.New(1, 600_000_000, 1)}
+	}
+	// An answer may come as late as the grace allows, and has a way to go.
+	r.expiry = p.clock.AfterFunc(r.class.Deadline+answerGrace+2*p.Hop+time.Millisecond, r.expire)
+	r.send()
+}
+
+func (p *play) drawClass(r *rand.Rand) int {
+	sum := 0.0
+	for _, c := range p.Classes {
+		sum += c.Share
+	}
+	x := r.Float64() * sum
+	for i, c := range p.Classes {
+		if x -= c.Share; x < 0 {
+			return i
+		}
+	}
+	return len(p.Classes) - 1
+}
+
+// send makes the next try.
+func (r *request) send() {
+	at := r.choose()
+	if at < 0 {
+		r.end(&r.tally.Failed)
+		return
+	}
+	r.tally.Tries++
+	t := r.try
+	t.Sent, t.Retry = r.clock.Now(), r.left < r.Retries
+	if t.Retry {
+		t.ID = fmt.Sprint(t.ID, ".", r.Retries-r.left)
+	}
+	h := r.nodes[at]
+	r.now, r.at, r.avoid = &t, h, at
+	r.caller.open[at]++
+	r.clock.AfterFunc(r.Hop, func() {
+		if h.gone {
+			r.back(at, &t, node.Answer{Kind: node.Refused}) // nobody listens
+			return
+		}
+		if r.now != &t {
+			return // its client gave up on the way
+		}
+		h.server.Offer(&t, func(a node.Answer) {
+			r.clock.AfterFunc(r.Hop, func() { r.back(at, &t, a) })
+		})
+	})
+}
+
+// back takes the answer to a try.
+func (r *request) back(at int, t *Try, a node.Answer) {
+	if r.now != t {
+		return // its client gave up
+	}
+	r.now = nil
+	r.caller.open[at]--
+	switch {
+	case a.Kind == node.Served:
+		took := r.clock.Now().Sub(r.born)
+		_ = r.tally.Latency.RecordValue(max(1, took.Microseconds()))
+		if took <= r.class.Aim {
+			r.tally.Worth += r.class.Worth
+			r.end(&r.tally.InAim)
+		} else {
+			r.end(&r.tally.Late)
+		}
+		return
+	case a.Kind == node.Failed && r.class.Keyed: // it may have run: another node would run it again
+		r.end(&r.tally.Failed)
+		return
+	case r.left > 0 && !(a.Last && r.Heed):
+		r.left--
+		wait := r.Backoff
+		if r.Heed && a.Holdoff > 0 {
+			wait = a.Holdoff
+		}
+		r.clock.AfterFunc(wait, func() {
+			if !r.ended {
+				r.send()
+			}
+		})
+		return
+	}
+	if a.Kind == node.Refused {
+		r.end(&r.tally.Refused)
+	} else {
+		r.end(&r.tally.Failed)
+	}
+}
+
+// expire has the client give up.
+func (r *request) expire() {
+	if t := r.now; t != nil {
+		r.now = nil
+		for i, h := range r.nodes {
+			if h == r.at {
+				r.caller.open[i]--
+			}
+		}
+		h := r.at
+		r.clock.AfterFunc(r.Hop, func() {
+			if !h.gone {
+				h.server.Gone(t)
+			}
+		})
+	}
+	r.end(&r.tally.Expired)
+}
+
+func (r *request) end(count *int) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	*count++
+	r.expiry.Stop()
+	r.mark()
+	r.open--
+	// Little's law is about the length: what a request stays beyond it counts for nothing.
+	end, last := r.clock.Now(), r.begun.Add(r.Length)
+	if end.After(last) {
+		end = last
+	}
+	r.spent += max(0, end.Sub(r.born).Seconds())
+}
+
+// choose is the node for the next try: not the one that turned the last one away, where there is another. -1: there is none.
+func (r *request) choose() int {
+	b := r.caller
+	listed := r.listed[:0]
+	for i, h := range r.nodes {
+		if !h.gone && i != r.avoid {
+			listed = append(listed, i)
+		}
+	}
+	if len(listed) == 0 && r.avoid >= 0 && !r.nodes[r.avoid].gone {
+		listed = append(listed, r.avoid)
+	}
+	if r.listed = listed; len(listed) == 0 {
+		return -1
+	}
+	switch r.Habit {
+	case LeastOpen:
+		best, least := -1, math.MaxInt
+		from := b.random.IntN(len(listed)) // ties go evenly
+		for k := range listed {
+			if i := listed[(from+k)%len(listed)]; b.open[i] < least {
+				best, least = i, b.open[i]
+			}
+		}
+		return best
+	case TwoChoices:
+		x, y := listed[b.random.IntN(len(listed))], listed[b.random.IntN(len(listed))]
+		if b.open[y] < b.open[x] {
+			return y
+		}
+		return x
+	case Random:
+		return listed[b.random.IntN(len(listed))]
+	}
+	b.next++
+	return listed[b.next%len(listed)]
+}
+
+// fault has a fault begin, and end.
+func (p *play) fault(f Fault) {
+	h := p.nodes[f.Node]
+	switch f.Kind {
+	case "stall":
+		h.machine.Speed(0)
+		p.clock.AfterFunc(f.Length, func() { h.machine.Speed(p.Speed) })
+	case "slow":
+		h.machine.Speed(f.Factor * p.Speed)
+		p.clock.AfterFunc(f.Length, func() { h.machine.Speed(p.Speed) })
+	case "leave":
+		h.server.Leave(f.Length)
+		p.clock.AfterFunc(f.Length, func() { h.gone = true })
+	}
+}
