--- /dev/null
+++ b/cmd/sloehitch-lab/experiment.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/mattn/go-isatty"
+
+	"sloehitch/internal/experiment"
+)
+
+type runCmd struct {
+	File    string `arg:"" type:"existingfile" help:"The experiment, as TOML (docs/operators/lab.md)."`
+	Out     string `required:"" type:"path" help:"A folder for the results. One that holds a part of them is gone on with."`
+	Workers int    `help:"Runs at once; by default one for each core."`
+}
+
+// Run plays an experiment and reports it.
+func (c *runCmd) Run() error {
+	f, err := experiment.Read(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Workers <= 0 {
+		c.Workers = runtime.GOMAXPROCS(0)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	began, line := time.Now(), isatty.IsTerminal(os.Stderr.Fd())
+	progress := func(done, all int) {
+		if !line {
+			return
+		}
+		left := time.Since(began) / time.Duration(done) * time.Duration(all-done)
+		fmt.Fprintf(os.Stderr, "\r%d of %d runs, %v left   ", done, all, left.Round(time.Second))
+		if done == all {
+			fmt.Fprintln(os.Stderr)
+		}
+	}
+	if err := f.Run(ctx, experiment.Options{Dir: c.Out, Workers: c.Workers, Version: revision(), Progress: progress}); err != nil {
+		return err
+	}
+	return (&reportCmd{Dir: c.Out}).Run()
+}
+
+// revision is what this program was built from: results of another one are not gone on with.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	out := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" || s.Key == "vcs.modified" && s.Value == "true" {
+			out += " " + s.Value
+		}
+	}
+	return out
+}
+
+type reportCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"A folder of results."`
+}
+
+// Run prints the table, and writes the charts and the page.
+func (c *reportCmd) Run() error {
+	table, err := experiment.Report(c.Dir)
+	if err != nil {
+		return err
+	}
+	fmt.Print(table)
+	return nil
+}
+
+type diffCmd struct {
+	A string `arg:"" type:"existingdir" help:"Results before."`
+	B string `arg:"" type:"existingdir" help:"Results after."`
+}
+
+// errWorse says that something is worse beyond noise; it has been told.
+var errWorse = errors.New("worse, beyond noise")
+
+// Run tells what changed from A to B; it errs where something is worse beyond noise.
+func (c *diffCmd) Run() error {
+	a, err := experiment.Rows(c.A)
+	if err != nil {
+		return err
+	}
+	b, err := experiment.Rows(c.B)
+	if err != nil {
+		return err
+	}
+	changes, err := experiment.Diff(a, b)
+	if err != nil {
+		return err
+	}
+	worse := false
+	for _, d := range changes {
+		word := "noise"
+		switch {
+		case d.By.Mean == 0 && !d.Beyond:
+			word = "the same"
+		case d.Beyond && d.By.Mean < 0:
+			word, worse = "WORSE", true
+		case d.Beyond:
+			word = "better"
+		}
+		fmt.Printf("load %.3g, %d nodes, %d retries, %s: goodput %.3f, by %+.3f [%+.3f, %+.3f]: %s\n", d.Cell.Load, d.Cell.Nodes, d.Cell.Retries, d.Cell.Arm,
+			d.Cell.Goodput.Mean, d.By.Mean, d.By.Low, d.By.High, word)
+	}
+	if worse {
+		return errWorse
+	}
+	return nil
+}
--- a/cmd/sloehitch-lab/main.go
+++ b/cmd/sloehitch-lab/main.go
@@ -16,7 +16,10 @@
 )
 
 var cli struct {
-	Uwsgi uwsgiCmd `cmd:"" help:"Speak uwsgi."`
+	Uwsgi  uwsgiCmd  `cmd:"" help:"Speak uwsgi."`
+	Run    runCmd    `cmd:"" help:"Play an experiment in the emulator, and report it."`
+	Report reportCmd `cmd:"" help:"Print and draw what a folder of results holds."`
+	Diff   diffCmd   `cmd:"" help:"Say what changed between two folders of results, and whether it is beyond noise."`
 }
 
 type uwsgiCmd struct {
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,267 @@
+package experiment
+
+import (
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+
+	"sloehitch/internal/emulator"
+)
+
+// Row is what became of one class in one run.
+type Row struct {
+	Arm                                            string
+	Point                                          Point
+	Seed                                           uint64
+	Class                                          string
+	Offered, InAim, Late, Refused, Failed, Expired int
+	Tries                                          int
+	Worth, Offer                                   float64 // answered in time; offered
+	MeanMS, P50MS, P99MS                           float64 // of those served
+	Utilization                                    float64
+}
+
+var header = []string{"arm", "load", "nodes", "retries", "seed", "class", "offered", "in_aim", "late", "refused", "failed", "expired", "tries",
+	"worth", "worth_offered", "mean_ms", "p50_ms", "p99_ms", "utilization"}
+
+// record is a row's fields, with as many digits everywhere.
+func (r Row) record() []string {
+	f := func(x float64) string { return strconv.FormatFloat(x, 'f', 6, 64) }
+	out := []string{r.Arm, f(r.Point.Load), strconv.Itoa(r.Point.Nodes), strconv.Itoa(r.Point.Retries), strconv.FormatUint(r.Seed, 10), r.Class}
+	for _, n := range []int{r.Offered, r.InAim, r.Late, r.Refused, r.Failed, r.Expired, r.Tries} {
+		out = append(out, strconv.Itoa(n))
+	}
+	for _, x := range []float64{r.Worth, r.Offer, r.MeanMS, r.P50MS, r.P99MS, r.Utilization} {
+		out = append(out, f(x))
+	}
+	return out
+}
+
+// parseRow reads a row's fields.
+func parseRow(in []string) (r Row, err error) {
+	if len(in) != len(header) {
+		return r, fmt.Errorf("%d fields, %d wanted", len(in), len(header))
+	}
+	var errs []error
+	number := func(i int) float64 {
+		x, err := strconv.ParseFloat(in[i], 64)
+		errs = append(errs, err)
+		return x
+	}
+	r = Row{Arm: in[0], Point: Point{number(1), int(number(2)), int(number(3))}, Seed: uint64(number(4)), Class: in[5], Offered: int(number(6)), InAim: int(number(7)),
+		Late: int(number(8)), Refused: int(number(9)), Failed: int(number(10)), Expired: int(number(11)), Tries: int(number(12)), Worth: number(13),
+		Offer: number(14), MeanMS: number(15), P50MS: number(16), P99MS: number(17), Utilization: number(18)}
+	return r, errors.Join(errs...)
+}
+
+// job is one run.
+type job struct {
+	point Point
+	arm   Arm
+	seed  uint64
+}
+
+// jobs are all runs of an experiment, in the order of its rows.
+func (f *File) jobs() (all []job) {
+	for _, p := range f.Points() {
+		for _, a := range f.Arms {
+			for seed := range uint64(f.Seeds) {
+				all = append(all, job{p, a, seed + 1})
+			}
+		}
+	}
+	return all
+}
+
+// about is kept with the results.
+type about struct {
+	Experiment string `json:"experiment"`
+	Digest     string `json:"digest"`
+	Version    string `json:"version"`
+}
+
+// Options say how an experiment is run.
+type Options struct {
+	Dir      string // for the results
+	Workers  int
+	Version  string // of the program
+	Progress func(done, all int)
+}
+
+// ErrOther says that the folder holds another experiment's results.
+var ErrOther = errors.New("the folder holds results of another experiment or version")
+
+// Run plays all runs that the folder does not hold yet, and then writes rows.csv, whose bytes do not depend on the number
+// of workers. Cut short by ctx it keeps what is done, and goes on from there when called again. A broken rule ends it.
+func (f *File) Run(ctx context.Context, o Options) error {
+	runs := filepath.Join(o.Dir, "runs")
+	if err := os.MkdirAll(runs, 0o755); err != nil {
+		return err
+	}
+	if err := f.claim(o); err != nil {
+		return err
+	}
+	all := f.jobs()
+	next, done := make(chan int), 0
+	var mu sync.Mutex
+	var errs []error
+	var workers sync.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for range max(1, o.Workers) {
+		workers.Go(func() {
+			for i := range next {
+				err := f.keep(filepath.Join(runs, fmt.Sprintf("%06d.csv", i)), all[i])
+				mu.Lock()
+				if done++; err != nil {
+					errs = append(errs, err)
+					cancel()
+				} else if o.Progress != nil {
+					o.Progress(done, len(all))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+feed:
+	for i := range all {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+			break feed
+		}
+	}
+	close(next)
+	workers.Wait()
+	if len(errs) > 0 {
+		return errors.Join(errs...)
+	}
+	if ctx.Err() != nil {
+		return fmt.Errorf("cut short after %d of %d runs: call it again to go on: %w", done, len(all), context.Cause(ctx))
+	}
+	return f.collect(o.Dir, runs, len(all))
+}
+
+// claim has the folder be this experiment's.
+func (f *File) claim(o Options) error {
+	path := filepath.Join(o.Dir, "about.json")
+	mine := about{f.Name, f.Digest(), o.Version}
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		text, err := json.MarshalIndent(mine, "", " ")
+		if err != nil {
+			return err
+		}
+		return errors.Join(os.WriteFile(path, append(text, '\n'), 0o644), os.WriteFile(filepath.Join(o.Dir, "experiment.toml"), f.text, 0o644))
+	}
+	var theirs about
+	if err != nil || json.Unmarshal(text, &theirs) != nil || theirs != mine {
+		return fmt.Errorf("%s: %w: name another folder, or remove this one", o.Dir, ErrOther)
+	}
+	return nil
+}
+
+// keep plays one run and keeps its rows, unless they are kept already.
+func (f *File) keep(path string, j job) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
+	rows, err := f.play(j)
+	if err != nil {
+		return err
+	}
+	var records [][]string
+	for _, r := range rows {
+		records = append(records, r.record())
+	}
+	out, err := os.Create(path + ".part")
+	if err != nil {
+		return err
+	}
+	w := csv.NewWriter(out)
+	if err := errors.Join(w.WriteAll(records), out.Close()); err != nil {
+		return err
+	}
+	return os.Rename(path+".part", path) // whole or not at all
+}
+
+// play makes one run.
+func (f *File) play(j job) ([]Row, error) {
+	w, err := f.world(j.point, j.arm, j.seed)
+	if err != nil {
+		return nil, err
+	}
+	r, err := emulator.Play(w)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Broken) > 0 && j.arm.Policy == "sloehitch" { // the small policies promise nothing
+		return nil, fmt.Errorf("arm %q, %s: %w", j.arm.Name, j.point, r.Broken[0])
+	}
+	var rows []Row
+	for i, t := range r.Classes {
+		ms := func(us int64) float64 { return float64(us) / 1000 }
+		rows = append(rows, Row{Arm: j.arm.Name, Point: j.point, Seed: j.seed, Class: w.Classes[i].Name, Offered: t.Offered, InAim: t.InAim, Late: t.Late,
+			Refused: t.Refused, Failed: t.Failed, Expired: t.Expired, Tries: t.Tries, Worth: t.Worth, Offer: float64(t.Offered) * w.Classes[i].Worth,
+			MeanMS: t.Latency.Mean() / 1000, P50MS: ms(t.Latency.ValueAtQuantile(50)), P99MS: ms(t.Latency.ValueAtQuantile(99)), Utilization: r.Utilization})
+	}
+	return rows, nil
+}
+
+// collect puts the runs' rows together.
+func (f *File) collect(dir, runs string, n int) error {
+	out, err := os.Create(filepath.Join(dir, "rows.csv.part"))
+	if err != nil {
+		return err
+	}
+	w := csv.NewWriter(out)
+	err = w.Write(header)
+	for i := range n {
+		rows, e := readRecords(filepath.Join(runs, fmt.Sprintf("%06d.csv", i)))
+		err = errors.Join(err, e, w.WriteAll(rows))
+	}
+	if err := errors.Join(err, out.Close()); err != nil {
+		return err
+	}
+	return os.Rename(filepath.Join(dir, "rows.csv.part"), filepath.Join(dir, "rows.csv"))
+}
+
+func readRecords(path string) ([][]string, error) {
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	records, err := csv.NewReader(in).ReadAll()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return records, nil
+}
+
+// Rows reads a folder's rows.
+func Rows(dir string) (rows []Row, err error) {
+	path := filepath.Join(dir, "rows.csv")
+	records, err := readRecords(path)
+	if err != nil {
+		return nil, err
+	}
+	for i, in := range records {
+		if i == 0 {
+			continue
+		}
+		r, err := parseRow(in)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", path, i+1, err)
+		}
+		rows = append(rows, r)
+	}
+	return rows, nil
+}
