Emulate nodes that die, return cold and lose messages; callers with budgets, late lists

Seen and ruled out on the way: the rule on lost answers broke on tries sent after their due time (a wait of 0 or less means untold to the core; callers no longer send such); and two nodes that stood still for 4 s went on refusing two thirds of their searches. It looked like the module's probe, which waits until nothing runs; a probe by class brought no more than noise. At fault was the emulator's runner: it paused for ever the runs that the module stops as nobody waits for them, where the runtime ends them. The module is as it was.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -110,14 +110,15 @@
 // requests; all that came is accounted for, and no rule is broken, on a calm, in overload and with faults.
 func TestSameSeed(t *testing.T) {
 	var faulty []Fault
-	for i, kind := range []string{"stall", "slow", "leave"} {
-		faulty = append(faulty, Fault{At: time.Duration(6+3*i) * time.Second, Node: i, Kind: kind, Length: 3 * time.Second, Factor: 0.3})
+	for i, kind := range []Kind{Stall, Slow, Lossy, Leave, Die} {
+		faulty = append(faulty, Fault{At: time.Duration(6+2*i) * time.Second, Node: i % 4, Kind: kind, Length: 2 * time.Second, Factor: 0.3, Return: time.Second})
 	}
 	for _, load := range []float64{0.6, 1.2, 10} {
 		offered := ""
 		for _, policy := range []string{"sloehitch", "none", "fixed"} {
 			w := clinic(7, load, policy)
 			w.Faults, w.Length = faulty, 18*time.Second
+			w.Notice, w.ColdFrom, w.ColdFor, w.Budget = 700*time.Millisecond, 0.2, 3*time.Second, 0.1
 			if load == 10 {
 				w.Length = 9 * time.Second
 			}
@@ -200,8 +201,8 @@
 func TestRulesCatch(t *testing.T) {
 	for _, rule := range []string{"lost", "duplicate", "rerun", "refused", "drain"} {
 		w := clinic(3, 0.5, "sloehitch")
-		w.Length, w.WarmUp = 8*time.Second, 0
-		w.Faults = []Fault{{At: 2 * time.Second, Node: 0, Kind: "leave", Length: 5 * time.Second}}
+		w.Length, w.WarmUp, w.Notice = 8*time.Second, 0, 4*time.Second
+		w.Faults = []Fault{{At: 2 * time.Second, Node: 0, Kind: Leave, Length: 5 * time.Second}}
 		make := w.Policy
 		w.Policy = func(s Site) Server { return &spoilt{Server: make(s), site: s, rule: rule} }
 		r, err := Play(w)
@@ -243,6 +244,57 @@
 	}
 }
 
+// TestFaults: each fault costs what it is for, and no more once it is over; a budget holds further tries down.
+func TestFaults(t *testing.T) {
+	play := func(change func(*World)) (goodput, tries float64, r *Result) {
+		t.Helper()
+		w := clinic(5, 0.7, "sloehitch")
+		w.Length, w.WarmUp, w.Burst, w.Retries = 20*time.Second, 2*time.Second, 0, 3
+		change(&w)
+		r, err := Play(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Broken) > 0 {
+			t.Fatal(r.Broken[0])
+		}
+		n, offered := 0, 0
+		for _, c := range r.Classes {
+			n, offered = n+c.Tries, offered+c.Offered
+		}
+		return r.Goodput(&w), float64(n) / float64(offered), r
+	}
+	calm, once, _ := play(func(*World) {})
+	if calm < 0.99 || once > 1.01 {
+		t.Fatalf("calm: goodput %.3f, %.2f tries", calm, once)
+	}
+	for _, c := range []struct {
+		name        string
+		fault       Fault
+		least, most float64 // goodput
+	}{
+		{"a node stands still for 3 of 18 s", Fault{Kind: Stall, Length: 3 * time.Second}, 0.9, 0.999},
+		{"a node goes at half speed for 3 s", Fault{Kind: Slow, Length: 3 * time.Second, Factor: 0.5}, 0.93, 0.9999},
+		{"a tenth of a node's messages is lost for 5 s", Fault{Kind: Lossy, Length: 5 * time.Second, Factor: 0.1}, 0.97, 0.9995},
+		{"a node dies for good: the others are near full", Fault{Kind: Die}, 0.95, 0.9999},
+		{"a node leaves and comes back", Fault{Kind: Leave, Length: 3 * time.Second, Return: time.Second}, 0.93, 0.9999},
+	} {
+		c.fault.At = 6 * time.Second
+		got, _, _ := play(func(w *World) {
+			w.Faults, w.Notice, w.ColdFrom, w.ColdFor = []Fault{c.fault}, time.Second, 0.3, 2*time.Second
+		})
+		if got < c.least || got > c.most {
+			t.Errorf("%s: goodput %.4f, want %.3f to %.4f", c.name, got, c.least, c.most)
+		}
+	}
+	storm := func(w *World) { w.Load, w.Heed = 1.5, false }
+	_, unbound, _ := play(storm)
+	_, bound, _ := play(func(w *World) { storm(w); w.Budget = 0.1 })
+	if unbound < 1.3 || bound > 1.12 {
+		t.Errorf("%.2f tries a request without a budget, %.2f with one of 0.1", unbound, bound)
+	}
+}
+
 // BenchmarkPlay is how fast so many nodes are played that get 230 requests a second together, 93% of what they can do.
 func BenchmarkPlay(b *testing.B) {
 	for _, nodes := range []int{4, 16, 100, 1000} {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -143,11 +143,8 @@
 
 // run is one piece of work that the core has started.
 type run struct {
-	try    *Try
-	work   *Work
-	left   float64 // while it is paused
-	paused bool
-	since  time.Time
+	work  *Work
+	since time.Time
 }
 
 func newReal(s Site) Server {
@@ -204,38 +201,26 @@
 }
 
 func (r runner) Start(id, _ string, _ []byte) {
-	w := &run{try: r.try, since: r.site.Clock.Now()}
+	w := &run{since: r.site.Clock.Now()}
 	r.runs[id] = w
 	r.site.Ran(r.try)
-	r.resume(id, w, r.try.Work)
-}
-
-// resume puts what is left of a run on the cores.
-func (r *real) resume(id string, w *run, work float64) {
-	w.work = r.site.Machine.Add(work, func() {
+	w.work = r.site.Machine.Add(r.try.Work, func() {
 		delete(r.runs, id)
 		r.node.Ended(id, logic.OK, r.site.Clock.Now().Sub(w.since), nil)
 	})
 }
 
+// Stop ends a run: the module stops only what nobody waits for any more, and the runtime confirms that with an end.
 func (r runner) Stop(id string) {
 	w := r.runs[id]
-	if w == nil || w.paused {
+	if w == nil {
 		return
 	}
-	w.left, w.paused = r.site.Machine.Remove(w.work), true
-	if r.site.Settings.Stop == logic.StopDiscard {
-		delete(r.runs, id)
-		r.site.Clock.AfterFunc(0, func() { r.node.Ended(id, logic.Cancelled, r.site.Clock.Now().Sub(w.since), nil) })
-	}
-}
-
-func (r runner) Continue(id string) {
-	if w := r.runs[id]; w != nil && w.paused {
-		w.paused = false
-		r.resume(id, w, w.left)
-	}
+	r.site.Machine.Remove(w.work)
+	delete(r.runs, id)
+	r.site.Clock.AfterFunc(0, func() { r.node.Ended(id, logic.Cancelled, r.site.Clock.Now().Sub(w.since), nil) })
 }
 
+func (r runner) Continue(string)     {}
 func (r runner) Give(string, []byte) {}
 func (r runner) Omit(string, uint64) {}
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -40,6 +41,7 @@
 	leaving time.Time
 	last    [20]happened // a ring
 	lasts   int
+	dead    bool // what it still says is heard by nobody
 }
 
 // happened is one step of a try.
@@ -67,6 +69,9 @@
 		}
 	})
 	k.Server.Offer(t, func(a node.Answer) {
+		if k.dead {
+			return
+		}
 		k.note([]string{"served", "refused", "failed"}[a.Kind], t)
 		if w.answered {
 			k.breaks("duplicate", t.ID+" was answered again")
@@ -105,8 +110,30 @@
 	k.Server.Leave(left)
 }
 
+// hand are the tries that the node has yet to answer, in no order that matters: each is told of at the same time.
+func (k *rules) hand() (tries []*Try) {
+	for t := range k.open {
+		tries = append(tries, t)
+	}
+	slices.SortFunc(tries, func(a, b *Try) int { return strings.Compare(a.ID, b.ID) })
+	return tries
+}
+
+// stop ends the watch: the node is gone, and owes nothing any more.
+func (k *rules) stop() {
+	for _, w := range k.open {
+		w.guard.Stop()
+		w.gone = true
+	}
+	clear(k.open)
+	k.dead = true
+}
+
 // ran is told of each run as it is started.
 func (k *rules) ran(t *Try) {
+	if k.dead {
+		return
+	}
 	k.note("run", t)
 	now := k.clock.Now()
 	w := k.open[t]
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -65,6 +65,11 @@
 	Retries   int
 	Backoff   time.Duration // before a further try, where nothing is advised
 	Heed      bool          // advice on when to come back
+	Budget    float64       // further tries for each first one that a balancer makes, a few saved up; 0: no bound
+	Notice    time.Duration // after which balancers learn that a node leaves, is gone or has come back
+
+	ColdFrom float64       // share of its speed that a node has as it comes back; 0: all
+	ColdFor  time.Duration // until it has all
 
 	Faults []Fault
 	Policy func(Site) Server
@@ -74,11 +79,23 @@
 type Fault struct {
 	At     time.Duration
 	Node   int
-	Kind   string        // "stall": its cores stand still; "slow": they go at Factor of their speed; "leave": it is told to stop
-	Length time.Duration // of stall and slow; of leave: until it is gone, and takes nothing more
+	Kind   Kind
+	Length time.Duration
 	Factor float64
+	Return time.Duration // of Leave and Die: after Length, until it is back, cold and knowing nothing; 0: it stays away
 }
 
+// Kind is what happens.
+type Kind string
+
+const (
+	Stall Kind = "stall" // its cores stand still for Length
+	Slow  Kind = "slow"  // they go at Factor of their speed for Length
+	Leave Kind = "leave" // it is told to stop, and is gone after Length
+	Die   Kind = "die"   // it is gone at once with all that it had in hand
+	Lossy Kind = "lossy" // of what is sent to it and comes back, Factor is lost for Length
+)
+
 // Check errs where a world can't be played.
 func (w *World) Check() error {
 	var errs []error
@@ -98,6 +115,8 @@
 		want(c.Share > 0 && c.Work.Mean > 0 && c.Aim > 0 && c.Deadline >= c.Aim, fmt.Sprintf("class %q: share, work and aim must be above 0, and the deadline no sooner than the aim", c.Name))
 		want(!c.Keyed || c.Window > 0, fmt.Sprintf("class %q: a keyed class needs a window above 0", c.Name))
 	}
+	want(w.Budget >= 0 && w.Notice >= 0, "budget and notice must not be below 0")
+	want(w.ColdFrom >= 0 && w.ColdFrom <= 1, "cold_from must be from 0 to 1")
 	switch w.Habit {
 	case RoundRobin, LeastOpen, TwoChoices, Random:
 	default:
@@ -105,7 +124,13 @@
 	}
 	for _, f := range w.Faults {
 		want(f.Node >= 0 && f.Node < w.Nodes, fmt.Sprintf("a fault of node %d, of %d", f.Node, w.Nodes))
-		want(f.Kind == "stall" || f.Kind == "slow" && f.Factor > 0 || f.Kind == "leave", fmt.Sprintf("no fault %q: stall, slow (with a factor above 0) or leave", f.Kind))
+		switch f.Kind {
+		case Stall, Leave, Die:
+		case Slow, Lossy:
+			want(f.Factor > 0 && f.Factor <= 1, fmt.Sprintf("a fault %q wants a factor above 0, 1 at most", f.Kind))
+		default:
+			want(false, fmt.Sprintf("no fault %q: stall, slow, leave, die or lossy", f.Kind))
+		}
 	}
 	_, err := logic.New(w.settings(), 0)
 	return errors.Join(append(errs, err)...)
@@ -180,6 +205,7 @@
 	result  *Result
 	ids     int
 	listed  []int // room for choose
+	tries   map[*Try]*request
 
 	open   int // requests in the system
 	area   float64
@@ -191,7 +217,11 @@
 	name    string
 	machine *Machine
 	server  *rules
-	gone    bool // it takes nothing more
+	gone    bool    // it takes nothing more
+	listed  bool    // as balancers know it
+	life    int     // how often it has begun: what was sent to an earlier life is lost
+	lossy   float64 // share of messages lost
+	loss    *rand.Rand
 }
 
 // balancer is one caller of the nodes.
@@ -200,21 +230,23 @@
 	next   int
 	open   []int
 	random *rand.Rand
+	budget float64 // further tries that it may make now
 }
 
+// saved is how many further tries a balancer may save up.
+const saved = 10
+
 // Play plays a world to its end. It errs where the world can't be played; a broken rule is in the result.
 func Play(w World) (*Result, error) {
 	if err := w.Check(); err != nil {
 		return nil, err
 	}
 	begun := time.UnixMilli(1764576000000)
-	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{}}
+	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{}, tries: map[*Try]*request{}}
 	settings := w.settings()
 	for i := range w.Nodes {
-		h := &host{name: fmt.Sprint("n", i), machine: NewMachine(p.clock, w.Cores, w.Speed, w.Thrash, w.ThrashAt)}
-		h.server = &rules{clock: p.clock, settings: settings, name: h.name, seed: w.Seed, begun: begun, open: map[*Try]*watched{}, keys: map[string]time.Time{},
-			broken: func(b *Broken) { p.result.Broken = append(p.result.Broken, b) }}
-		h.server.Server = w.Policy(Site{Clock: p.clock, Machine: h.machine, Settings: settings, Ran: h.server.ran})
+		h := &host{name: fmt.Sprint("n", i), listed: true, loss: p.streams.Stream(fmt.Sprint("loss ", i))}
+		p.begin(h, settings)
 		p.nodes = append(p.nodes, h)
 	}
 	for i := range w.Balancers {
@@ -243,6 +275,54 @@
 	return p.result, nil
 }
 
+// begin starts a node that knows nothing.
+func (p *play) begin(h *host, settings logic.Settings) {
+	h.life++
+	h.gone = false
+	h.machine = NewMachine(p.clock, p.Cores, p.World.Speed, p.Thrash, p.ThrashAt)
+	h.server = &rules{clock: p.clock, settings: settings, name: h.name, seed: p.Seed, begun: p.begun, open: map[*Try]*watched{}, keys: map[string]time.Time{},
+		broken: func(b *Broken) { p.result.Broken = append(p.result.Broken, b) }}
+	h.server.Server = p.Policy(Site{Clock: p.clock, Machine: h.machine, Settings: settings, Ran: h.server.ran})
+}
+
+// end has a node gone with all that it has in hand, and has it come back if it is to.
+func (p *play) end(h *host, back time.Duration) {
+	h.gone = true
+	h.life++
+	h.server.stop()
+	h.machine.Speed(0) // what ran is lost
+	p.list(h, false)
+	if back <= 0 {
+		return
+	}
+	p.clock.AfterFunc(back, func() {
+		settings := p.settings()
+		settings.Cold, settings.ColdCapacity, settings.WarmAfter = p.ColdFrom > 0, p.ColdFrom, logic.Micros(p.ColdFor.Microseconds())
+		p.begin(h, settings)
+		p.warm(h, h.life, 0)
+		p.list(h, true)
+	})
+}
+
+// warmSteps are the steps in which a node that came back gets its speed.
+const warmSteps = 10
+
+// warm gives a node the speed of its next step.
+func (p *play) warm(h *host, life, step int) {
+	if p.ColdFrom == 0 || h.life != life {
+		return
+	}
+	h.machine.Speed(p.World.Speed * (p.ColdFrom + (1-p.ColdFrom)*float64(step)/warmSteps))
+	if step < warmSteps {
+		p.clock.AfterFunc(p.ColdFor/warmSteps, func() { p.warm(h, life, step+1) })
+	}
+}
+
+// list has balancers learn late whether a node is there.
+func (p *play) list(h *host, listed bool) {
+	p.clock.AfterFunc(p.Notice, func() { h.listed = listed })
+}
+
 func (p *play) run(until time.Time) {
 	for {
 		at, any := p.clock.Next()
@@ -300,6 +380,7 @@
 	ended  bool
 	now    *Try // the try that is open
 	at     *host
+	life   int // of that node, as it took the try
 	expiry clock.Timer
 }
 
@@ -327,6 +408,7 @@
 	}
 	// An answer may come as late as the grace allows, and has a way to go.
 	r.expiry = p.clock.AfterFunc(r.class.Deadline+answerGrace+2*p.Hop+time.Millisecond, r.expire)
+	r.caller.budget = min(saved, r.caller.budget+p.Budget)
 	r.send()
 }
 
@@ -346,6 +428,10 @@
 
 // send makes the next try.
 func (r *request) send() {
+	if !r.clock.Now().Add(r.Hop).Before(r.try.Due) {
+		r.end(&r.tally.Expired) // it would come when nobody waits any more
+		return
+	}
 	at := r.choose()
 	if at < 0 {
 		r.end(&r.tally.Failed)
@@ -362,20 +448,29 @@
 	r.caller.open[at]++
 	r.clock.AfterFunc(r.Hop, func() {
 		if h.gone {
-			r.back(at, &t, node.Answer{Kind: node.Refused}) // nobody listens
+			r.back(at, &t, node.Answer{Kind: node.Refused}) // nobody listens: it never ran
 			return
 		}
-		if r.now != &t {
-			return // its client gave up on the way
+		if r.now != &t || h.lost() {
+			return // its client gave up on the way, or it was lost there
 		}
+		r.life = h.life
+		r.tries[&t] = r
 		h.server.Offer(&t, func(a node.Answer) {
+			if h.lost() {
+				return
+			}
 			r.clock.AfterFunc(r.Hop, func() { r.back(at, &t, a) })
 		})
 	})
 }
 
+// lost says whether a message is lost on the node's link.
+func (h *host) lost() bool { return h.lossy > 0 && h.loss.Float64() < h.lossy }
+
 // back takes the answer to a try.
 func (r *request) back(at int, t *Try, a node.Answer) {
+	delete(r.tries, t)
 	if r.now != t {
 		return // its client gave up
 	}
@@ -395,7 +490,7 @@
 	case a.Kind == node.Failed && r.class.Keyed: // it may have run: another node would run it again
 		r.end(&r.tally.Failed)
 		return
-	case r.left > 0 && !(a.Last && r.Heed):
+	case r.left > 0 && !(a.Last && r.Heed) && r.caller.affords(r.Budget):
 		r.left--
 		wait := r.Backoff
 		if r.Heed && a.Holdoff > 0 {
@@ -415,18 +510,31 @@
 	}
 }
 
+// affords takes a further try off the balancer's budget.
+func (b *balancer) affords(budget float64) bool {
+	if budget == 0 {
+		return true
+	}
+	if b.budget < 1 {
+		return false
+	}
+	b.budget--
+	return true
+}
+
 // expire has the client give up.
 func (r *request) expire() {
 	if t := r.now; t != nil {
 		r.now = nil
+		delete(r.tries, t)
 		for i, h := range r.nodes {
 			if h == r.at {
 				r.caller.open[i]--
 			}
 		}
-		h := r.at
+		h, life := r.at, r.life
 		r.clock.AfterFunc(r.Hop, func() {
-			if !h.gone {
+			if !h.gone && h.life == life {
 				h.server.Gone(t)
 			}
 		})
@@ -456,11 +564,11 @@
 	b := r.caller
 	listed := r.listed[:0]
 	for i, h := range r.nodes {
-		if !h.gone && i != r.avoid {
+		if h.listed && i != r.avoid {
 			listed = append(listed, i)
 		}
 	}
-	if len(listed) == 0 && r.avoid >= 0 && !r.nodes[r.avoid].gone {
+	if len(listed) == 0 && r.avoid >= 0 && r.nodes[r.avoid].listed {
 		listed = append(listed, r.avoid)
 	}
 	if r.listed = listed; len(listed) == 0 {
@@ -492,15 +600,44 @@
 // fault has a fault begin, and end.
 func (p *play) fault(f Fault) {
 	h := p.nodes[f.Node]
+	life := h.life
+	still := func(what func()) func() { // unless it has died since
+		return func() {
+			if h.life == life {
+				what()
+			}
+		}
+	}
 	switch f.Kind {
-	case "stall":
-		h.machine.Speed(0)
-		p.clock.AfterFunc(f.Length, func() { h.machine.Speed(p.Speed) })
-	case "slow":
-		h.machine.Speed(f.Factor * p.Speed)
-		p.clock.AfterFunc(f.Length, func() { h.machine.Speed(p.Speed) })
-	case "leave":
+	case Stall, Slow:
+		speed := 0.0
+		if f.Kind == Slow {
+			speed = f.Factor
+		}
+		h.machine.Speed(speed * p.World.Speed)
+		p.clock.AfterFunc(f.Length, still(func() { h.machine.Speed(p.World.Speed) }))
+	case Lossy:
+		h.lossy = f.Factor
+		p.clock.AfterFunc(f.Length, func() { h.lossy = 0 })
+	case Leave:
 		h.server.Leave(f.Length)
-		p.clock.AfterFunc(f.Length, func() { h.gone = true })
+		p.list(h, false)
+		p.clock.AfterFunc(f.Length, still(func() { p.end(h, f.Return) }))
+	case Die:
+		for _, t := range h.server.hand() { // their connections break: they may have run
+			p.broke(h, t)
+		}
+		p.end(h, f.Return)
+	}
+}
+
+// broke has the caller of a try hear that its connection is gone.
+func (p *play) broke(h *host, t *Try) {
+	if r := p.tries[t]; r != nil {
+		for i := range p.nodes {
+			if p.nodes[i] == h {
+				p.clock.AfterFunc(p.Hop, func() { r.back(i, t, node.Answer{Kind: node.Failed}) })
+			}
+		}
 	}
 }
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -78,15 +78,19 @@
 	Hop      Span    `toml:"hop"`
 	Burst    float64 `toml:"burst"`
 	Every    Span    `toml:"every"`
+	ColdFrom float64 `toml:"cold_from"`
+	ColdFor  Span    `toml:"cold_for"`
 }
 
 // Callers are the balancers.
 type Callers struct {
-	Count   int    `toml:"count"`
-	Habit   string `toml:"habit"`
-	Retries int    `toml:"retries"`
-	Backoff Span   `toml:"backoff"`
-	Heed    bool   `toml:"heed"`
+	Count   int     `toml:"count"`
+	Habit   string  `toml:"habit"`
+	Retries int     `toml:"retries"`
+	Backoff Span    `toml:"backoff"`
+	Heed    bool    `toml:"heed"`
+	Budget  float64 `toml:"budget"`
+	Notice  Span    `toml:"notice"`
 }
 
 // Class is one class of requests.
@@ -111,6 +115,7 @@
 	Kind   string  `toml:"kind"`
 	Length Span    `toml:"length"`
 	Factor float64 `toml:"factor"`
+	Return Span    `toml:"return"`
 }
 
 // Sweep is what is tried, each with each; what is empty stays as the world says.
@@ -243,7 +248,8 @@
 	w := emulator.World{Seed: seed, Length: f.Length.Duration, WarmUp: f.WarmUp.Duration, Nodes: p.Nodes, Cores: f.World.Cores,
 		Speed: f.World.Speed, Thrash: f.World.Thrash, ThrashAt: f.World.ThrashAt, Crowd: f.World.Crowd, MemoryKB: f.World.MemoryMB * 1024,
 		Hop: f.World.Hop.Duration, Load: p.Load, Burst: f.World.Burst, Every: f.World.Every.Duration, Balancers: f.Callers.Count,
-		Habit: emulator.Habit(f.Callers.Habit), Retries: p.Retries, Backoff: f.Callers.Backoff.Duration, Heed: f.Callers.Heed, Policy: policy}
+		Habit: emulator.Habit(f.Callers.Habit), Retries: p.Retries, Backoff: f.Callers.Backoff.Duration, Heed: f.Callers.Heed, Policy: policy,
+		Budget: f.Callers.Budget, Notice: f.Callers.Notice.Duration, ColdFrom: f.World.ColdFrom, ColdFor: f.World.ColdFor.Duration}
 	for _, c := range f.Classes {
 		kind := c.Dist
 		switch {
@@ -258,7 +264,7 @@
 			Aim: c.Aim.Duration, Deadline: c.Deadline.Duration, Worth: c.Worth, Keyed: c.Keyed, Window: c.Window.Duration, HintCV: c.HintCV})
 	}
 	for _, x := range f.Faults {
-		w.Faults = append(w.Faults, emulator.Fault{At: x.At.Duration, Node: x.Node, Kind: x.Kind, Length: x.Length.Duration, Factor: x.Factor})
+		w.Faults = append(w.Faults, emulator.Fault{At: x.At.Duration, Node: x.Node, Kind: emulator.Kind(x.Kind), Length: x.Length.Duration, Factor: x.Factor, Return: x.Return.Duration})
 	}
 	return w, nil
 }
