--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -255,7 +255,7 @@
 				continue // it keeps a key
 			}
 			b.Gone(id)
-			b.decided(d)
+			b.Decide(d)
 			break
 		}
 	}
