Play the emulator's load against real daemons, to show where the model is off

Change: internal/rig starts daemons on loopback and speaks to them as balancers and as their runtimes, from the emulator's own callers and machines: the virtual clock is moved in step with the machine's (World.Drive), and what comes from sockets is done on the goroutine that moves it. sloehitch-lab load plays each point twice on the same seeds and reports both. Not taken: a load generator of its own.

Test: accounting, one run a key and one answer a try over real sockets, with a stall.

--- a/cmd/sloehitch-lab/experiment.go
+++ b/cmd/sloehitch-lab/experiment.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -13,7 +15,9 @@
 
 	"github.com/mattn/go-isatty"
 
+	"sloehitch/internal/emulator"
 	"sloehitch/internal/experiment"
+	"sloehitch/internal/rig"
 )
 
 type runCmd struct {
@@ -65,6 +69,51 @@
 	return out
 }
 
+type loadCmd struct {
+	File    string `arg:"" type:"existingfile" help:"The experiment; its worlds are played with the daemon's decisions, in the emulator and for real."`
+	Out     string `required:"" type:"path" help:"A new folder for the results."`
+	Program string `default:"bin/sloehitch" type:"existingfile" help:"The daemon."`
+	Seeds   int    `default:"1" help:"1 to so many: each run takes its length in real time."`
+}
+
+// Run plays the same load against the model and against real daemons on loopback.
+func (c *loadCmd) Run() error {
+	f, err := experiment.Read(c.File)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "sloehitch-lab-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	log, err := os.Create(filepath.Join(dir, "daemons.log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := func(config, deploy string) *exec.Cmd {
+		return exec.Command(c.Program, "serve", "--config", config, "--deploy", deploy)
+	}
+	real := func(w emulator.World) (*emulator.Result, error) {
+		fmt.Fprintf(os.Stderr, "%d daemons at a load of %.3g, %v\n", w.Nodes, w.Load, w.Length)
+		return rig.Play(w, rig.Options{Command: command, Dir: dir, Log: log})
+	}
+	told := 0
+	broken := func(b *emulator.Broken) {
+		if told++; told <= 5 {
+			fmt.Fprintln(os.Stderr, b)
+		}
+	}
+	if err := f.Compare(c.Out, c.Seeds, real, broken); err != nil {
+		return err
+	}
+	if told > 0 {
+		fmt.Fprintf(os.Stderr, "%d times a rule was broken\n", told)
+	}
+	return (&reportCmd{Dir: c.Out}).Run()
+}
+
 type reportCmd struct {
 	Dir string `arg:"" type:"existingdir" help:"A folder of results."`
 }
--- a/cmd/sloehitch-lab/main.go
+++ b/cmd/sloehitch-lab/main.go
@@ -18,6 +18,7 @@
 var cli struct {
 	Uwsgi  uwsgiCmd  `cmd:"" help:"Speak uwsgi."`
 	Run    runCmd    `cmd:"" help:"Play an experiment in the emulator, and report it."`
+	Load   loadCmd   `cmd:"" help:"Play an experiment's load against real daemons on loopback, and hold the emulator against them."`
 	Report reportCmd `cmd:"" help:"Print and draw what a folder of results holds."`
 	Diff   diffCmd   `cmd:"" help:"Say what changed between two folders of results, and whether it is beyond noise."`
 }
--- /dev/null
+++ b/cmd/sloehitch/rig_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"io"
+	"os/exec"
+	"testing"
+	"time"
+
+	"sloehitch/internal/emulator"
+	"sloehitch/internal/rig"
+)
+
+// TestRig: the emulator's load, played against real daemons, is answered and accounted for, and no key runs twice; how
+// fast this machine is decides nothing here.
+func TestRig(t *testing.T) {
+	w := emulator.World{Seed: 1, Length: 2 * time.Second, Nodes: 2, Cores: 2, Speed: 1, Thrash: 0.3, ThrashAt: 3, Crowd: 5, MemoryKB: 1e5, Load: 0.8,
+		Balancers: 2, Habit: emulator.LeastOpen, Retries: 1, Backoff: 10 * time.Millisecond, Heed: true, Classes: []emulator.Class{
+			{Name: "read", Share: 1, Work: emulator.Sizes{Mean: 0.02, CV: 1, Kind: "lognormal"}, Aim: time.Second, Deadline: 2 * time.Second, Worth: 1},
+			{Name: "book", Share: 1, Work: emulator.Sizes{Mean: 0.02}, Aim: time.Second, Deadline: 2 * time.Second, Worth: 3, Keyed: true, Window: 10 * time.Second}},
+		Faults: []emulator.Fault{{At: time.Second, Node: 0, Kind: emulator.Stall, Length: 200 * time.Millisecond}}}
+	policy, err := emulator.Policies("none", 0) // not used
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Policy = policy
+	r, err := rig.Play(w, rig.Options{Dir: t.TempDir(), Log: io.Discard, Command: func(config, deploy string) *exec.Cmd {
+		return command("serve", "--config", config, "--deploy", deploy)
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range r.Classes {
+		if sum := c.InAim + c.Late + c.Refused + c.Failed + c.Expired; sum != c.Offered || c.InAim+c.Late == 0 || c.Tries < c.Offered {
+			t.Errorf("class %d: %d offered, %d ended, %d served in time, %d tries", i, c.Offered, sum, c.InAim, c.Tries)
+		}
+	}
+	for _, b := range r.Broken {
+		if b.Rule == "rerun" || b.Rule == "duplicate" {
+			t.Error(b)
+		}
+	}
+	w.Nodes = rig.MostNodes + 1
+	if _, err := rig.Play(w, rig.Options{}); err == nil {
+		t.Error("more daemons than a machine should bear: no error")
+	}
+}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -73,6 +73,11 @@
 
 	Faults []Fault
 	Policy func(Site) Server
+
+	// Drive moves the clock to a time and makes all calls until then; nil: as fast as it goes. A driver that follows the
+	// machine's clock lets servers be real ones (package rig). Begin is when the clock begins; zero: always the same.
+	Drive func(c *clock.Virtual, until time.Time)
+	Begin time.Time
 }
 
 // Fault is something that happens to a node.
@@ -132,15 +137,15 @@
 			want(false, fmt.Sprintf("no fault %q: stall, slow, leave, die or lossy", f.Kind))
 		}
 	}
-	_, err := logic.New(w.settings(), 0)
+	_, err := logic.New(w.Settings(), 0)
 	return errors.Join(append(errs, err)...)
 }
 
 // answerGrace is how long after its due time an answer is still valid.
 const answerGrace = 80 * time.Millisecond
 
-// settings are what each node is told.
-func (w *World) settings() logic.Settings {
+// Settings are what each node is told.
+func (w *World) Settings() logic.Settings {
 	s := logic.Settings{Cores: w.Cores, MemoryKB: w.MemoryKB, RunFactor: 4, CrowdFactor: max(1, w.Crowd), CrowdSpan: 1500000, Servers: w.Nodes,
 		AnswerGrace: logic.Micros(answerGrace.Microseconds()), DrainGrace: 2000000, Tick: 4000, Stop: logic.StopFreeze, MaxAdvice: 1000000}
 	for _, c := range w.Classes {
@@ -242,8 +247,11 @@
 		return nil, err
 	}
 	begun := time.UnixMilli(1764576000000)
+	if !w.Begin.IsZero() {
+		begun = w.Begin.Round(0)
+	}
 	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{}, tries: map[*Try]*request{}}
-	settings := w.settings()
+	settings := w.Settings()
 	for i := range w.Nodes {
 		h := &host{name: fmt.Sprint("n", i), listed: true, loss: p.streams.Stream(fmt.Sprint("loss ", i))}
 		p.begin(h, settings)
@@ -270,7 +278,11 @@
 	for _, c := range w.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	p.run(end.Add(longest + 10*time.Second)) // what is open ends
+	tail := longest + 10*time.Second // what is open ends
+	if w.Drive != nil {
+		tail = longest + time.Second // in real time
+	}
+	p.run(end.Add(tail))
 	p.result.Little = p.spent / w.Length.Seconds()
 	return p.result, nil
 }
@@ -296,7 +308,7 @@
 		return
 	}
 	p.clock.AfterFunc(back, func() {
-		settings := p.settings()
+		settings := p.Settings()
 		settings.Cold, settings.ColdCapacity, settings.WarmAfter = p.ColdFrom > 0, p.ColdFrom, logic.Micros(p.ColdFor.Microseconds())
 		p.begin(h, settings)
 		p.warm(h, h.life, 0)
@@ -324,6 +336,10 @@
 }
 
 func (p *play) run(until time.Time) {
+	if p.Drive != nil {
+		p.Drive(p.clock, until)
+		return
+	}
 	for {
 		at, any := p.clock.Next()
 		if !any || at.After(until) {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -205,14 +205,60 @@
 	if len(r.Broken) > 0 && j.arm.Policy == "sloehitch" { // the small policies promise nothing
 		return nil, fmt.Errorf("arm %q, %s: %w", j.arm.Name, j.point, r.Broken[0])
 	}
-	var rows []Row
+	return j.rows(w, r), nil
+}
+
+// rows are what became of a run's classes.
+func (j job) rows(w emulator.World, r *emulator.Result) (rows []Row) {
 	for i, t := range r.Classes {
 		ms := func(us int64) float64 { return float64(us) / 1000 }
 		rows = append(rows, Row{Arm: j.arm.Name, Point: j.point, Seed: j.seed, Class: w.Classes[i].Name, Offered: t.Offered, InAim: t.InAim, Late: t.Late,
 			Refused: t.Refused, Failed: t.Failed, Expired: t.Expired, Tries: t.Tries, Worth: t.Worth, Offer: float64(t.Offered) * w.Classes[i].Worth,
 			MeanMS: t.Latency.Mean() / 1000, P50MS: ms(t.Latency.ValueAtQuantile(50)), P99MS: ms(t.Latency.ValueAtQuantile(99)), Utilization: r.Utilization})
 	}
-	return rows, nil
+	return rows
+}
+
+// Compare plays the daemon's decisions twice at each point, on the same seeds: in the emulator, and by real against real
+// daemons, one run after another. The rows, of arms "emulator" and "daemon", are kept in dir for a report. broken is told
+// of rules that the real ones broke: there a slow machine may be at fault.
+func (f *File) Compare(dir string, seeds int, real func(emulator.World) (*emulator.Result, error), broken func(*emulator.Broken)) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	if err := f.claim(Options{Dir: dir, Version: "against real daemons"}); err != nil {
+		return err
+	}
+	records := [][]string{header}
+	for _, p := range f.Points() {
+		for seed := range uint64(seeds) {
+			j := job{p, Arm{Name: "emulator", Policy: "sloehitch"}, seed + 1}
+			rows, err := f.play(j)
+			if err != nil {
+				return err
+			}
+			w, err := f.world(p, j.arm, j.seed)
+			if err != nil {
+				return err
+			}
+			r, err := real(w)
+			if err != nil {
+				return fmt.Errorf("%s, seed %d: %w", p, j.seed, err)
+			}
+			for _, b := range r.Broken {
+				broken(b)
+			}
+			j.arm.Name = "daemon"
+			for _, row := range append(rows, j.rows(w, r)...) {
+				records = append(records, row.record())
+			}
+		}
+	}
+	out, err := os.Create(filepath.Join(dir, "rows.csv"))
+	if err != nil {
+		return err
+	}
+	return errors.Join(csv.NewWriter(out).WriteAll(records), out.Close())
 }
 
 // collect puts the runs' rows together.
--- /dev/null
+++ b/internal/rig/rig.go
@@ -0,0 +1,171 @@
+package rig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"sloehitch/internal/emulator"
+	"sloehitch/logic"
+)
+
+// Options say what is played against.
+type Options struct {
+	Command func(config, deploy string) *exec.Cmd // starts a daemon
+	Dir     string                                // for its configuration; empty at first
+	Log     io.Writer                             // what the daemons say
+}
+
+// MostNodes and Longest bound what a rig may take of a machine.
+const (
+	MostNodes = 16
+	Longest   = 10 * time.Minute
+)
+
+// daemon is a process and what stands round it.
+type daemon struct {
+	cmd     *exec.Cmd
+	runtime *runtime
+	address string
+}
+
+// Play plays a world against daemons on this machine's loopback, in real time. The world's policy is not used, and its
+// nodes can stand still, go slower and leave, but not die or lose messages. It errs where the world can't be played, a
+// daemon does not start, or a connection breaks that should not.
+func Play(w emulator.World, o Options) (*emulator.Result, error) {
+	if w.Nodes > MostNodes || w.Length > Longest {
+		return nil, fmt.Errorf("%d nodes for %v: %d and %v at most against real daemons", w.Nodes, w.Length, MostNodes, Longest)
+	}
+	for _, f := range w.Faults {
+		if f.Kind == emulator.Die || f.Kind == emulator.Lossy || f.Return > 0 {
+			return nil, fmt.Errorf("a fault %q, or a node that returns, can't be played against real daemons", f.Kind)
+		}
+	}
+	in := make(inbox, 1024)
+	var mu sync.Mutex
+	var errs []error
+	failed := func(err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(errs) < 5 {
+			errs = append(errs, err)
+		}
+	}
+	var daemons []*daemon
+	defer func() {
+		for _, d := range daemons {
+			d.stop()
+		}
+		go func() { // readers that are left find somebody to tell
+			for range in {
+			}
+		}()
+	}()
+	for i := range w.Nodes {
+		d, err := start(in, w.Settings(), i, o)
+		if d != nil {
+			daemons = append(daemons, d)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var classes []string
+	for _, c := range w.Classes {
+		classes = append(classes, c.Name)
+	}
+	next := 0
+	w.Policy = func(s emulator.Site) emulator.Server {
+		d := daemons[next]
+		next++
+		r := &remote{in: in, site: s, address: d.address, classes: classes, failed: failed, open: map[string]*open{}, tries: map[*emulator.Try]*open{}, conns: map[int][]*conn{},
+			leave: func() { _ = d.cmd.Process.Signal(syscall.SIGTERM) }}
+		d.runtime.site, d.runtime.find = s, r.find
+		return r
+	}
+	w.Begin, w.Drive = time.Now(), in.pace
+	result, err := emulator.Play(w)
+	mu.Lock()
+	defer mu.Unlock()
+	return result, errors.Join(append(errs, err)...)
+}
+
+// start starts a daemon with a runtime of its own and waits until it takes callers.
+func start(in inbox, s logic.Settings, i int, o Options) (*daemon, error) {
+	rt, err := newRuntime(in)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{runtime: rt}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return d, err
+	}
+	d.address = ln.Addr().String()
+	ln.Close()
+	config, deploy := filepath.Join(o.Dir, fmt.Sprintf("n%d.json", i)), filepath.Join(o.Dir, "none.toml")
+	text, err := json.Marshal(configuration(fmt.Sprint("n", i), d.address, rt.ln.Addr().String(), s))
+	if err == nil {
+		err = os.WriteFile(config, text, 0o600)
+	}
+	if err != nil {
+		return d, err
+	}
+	d.cmd = o.Command(config, deploy)
+	d.cmd.Stderr = o.Log
+	if err := d.cmd.Start(); err != nil {
+		return d, err
+	}
+	select {
+	case <-rt.ready:
+	case <-time.After(10 * time.Second):
+		return d, fmt.Errorf("daemon %d made no link to its runtime within 10 s", i)
+	}
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", d.address)
+		if err == nil {
+			conn.Close()
+			return d, nil
+		}
+		if time.Now().After(until) {
+			return d, fmt.Errorf("daemon %d takes no callers: %w", i, err)
+		}
+	}
+}
+
+// stop ends what was started.
+func (d *daemon) stop() {
+	if d.cmd != nil && d.cmd.Process != nil {
+		_ = d.cmd.Process.Kill()
+		_ = d.cmd.Wait()
+	}
+	d.runtime.ln.Close()
+}
+
+// configuration is the platform's file for a node with these settings.
+func configuration(name, listen, runtime string, s logic.Settings) map[string]any {
+	var classes []map[string]any
+	for _, c := range s.Classes {
+		semantics := "retryable"
+		if c.Effect == logic.Keyed {
+			semantics = "dedup"
+		}
+		classes = append(classes, map[string]any{"name": c.Name, "objective": c.Aim, "hard-limit": c.Deadline, "credit": c.Worth, "semantics": semantics, "window": c.Window})
+	}
+	return map[string]any{"name": name, "listen": listen, "runtime": runtime, "seed": "1", "stop_ms": 5000,
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings": map[string]any{"ceilings": map[string]any{"retry-after": true, "max-retry-after": s.MaxAdvice}, "classes": classes, "servers": s.Servers, "tick": s.Tick,
+			"domain": map[string]any{"cores": s.Cores, "memory-kb": s.MemoryKB, "run-factor": s.RunFactor, "signal": "off", "stop-mode": "freeze",
+				"meters": []string{"core_use", "on_cores", "heap_share", "links"}},
+			"projects": []map[string]any{{"name": "lab", "quota-per-s": 1e6, "share": 1}},
+			"rules": map[string]any{"fall": s.CrowdSpan, "grace-to-answer": s.AnswerGrace, "overload-factor": s.CrowdFactor, "start-capacity": 1,
+				"stop-sending-within": s.DrainGrace}}}
+}
--- /dev/null
+++ b/internal/rig/runtime.go
@@ -0,0 +1,107 @@
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"time"
+
+	"sloehitch/internal/emulator"
+)
+
+// runtime stands in for the process that does a node's work: its cores are an emulated machine. It speaks the platform's
+// protocol as far as a link that never breaks needs it.
+type runtime struct {
+	in    inbox
+	ln    net.Listener
+	ready chan struct{} // closed at the first sync
+
+	// Of the goroutine that moves the clock:
+	site emulator.Site
+	find func(id string) *emulator.Try
+	conn net.Conn
+	pos  uint64
+	runs map[string]*work
+}
+
+type work struct {
+	work  *emulator.Work
+	since time.Time
+}
+
+func newRuntime(in inbox) (*runtime, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &runtime{in: in, ln: ln, ready: make(chan struct{}), runs: map[string]*work{}}
+	go r.accept()
+	return r, nil
+}
+
+func (r *runtime) accept() {
+	for first := true; ; first = false {
+		conn, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.serve(conn, first)
+	}
+}
+
+func (r *runtime) serve(conn net.Conn, first bool) {
+	defer conn.Close()
+	lines := bufio.NewScanner(conn)
+	lines.Buffer(nil, 64<<10)
+	for lines.Scan() {
+		var m struct{ Action, UID, Echo string }
+		if json.Unmarshal(lines.Bytes(), &m) != nil {
+			return
+		}
+		if m.Action == "sync" && first {
+			// Before the clock moves: the node is being started.
+			r.conn = conn
+			r.tell(map[string]any{"action": "ready", "code": "WARM", "wall_ms": 1})
+			close(r.ready)
+			continue
+		}
+		r.in <- func() { r.command(m.Action, m.UID, m.Echo) }
+	}
+}
+
+// command carries out what the node asked for.
+func (r *runtime) command(action, id, echo string) {
+	switch action {
+	case "gauges":
+		on := float64(r.site.Machine.Running())
+		r.tell(map[string]any{"action": "load", "echo": echo, "meters": []float64{min(1, on/float64(r.site.Settings.Cores)), on, 0, 0}})
+	case "start":
+		t := r.find(id)
+		if t == nil || r.runs[id] != nil {
+			return
+		}
+		r.site.Ran(t)
+		w := &work{since: r.site.Clock.Now()}
+		r.runs[id] = w
+		w.work = r.site.Machine.Add(t.Work, func() { r.end(id, "OK") })
+	case "stop":
+		if w := r.runs[id]; w != nil {
+			r.site.Machine.Remove(w.work)
+			r.end(id, "STOPPED")
+		}
+	}
+}
+
+func (r *runtime) end(id, code string) {
+	took := r.site.Clock.Now().Sub(r.runs[id].since)
+	delete(r.runs, id)
+	r.pos++
+	r.tell(map[string]any{"action": "end", "pos": r.pos, "uid": id, "code": code, "wall_ms": took.Seconds() * 1000, "content": "b2s="})
+}
+
+func (r *runtime) tell(m map[string]any) {
+	line, err := json.Marshal(m)
+	if err == nil && r.conn != nil {
+		_, _ = r.conn.Write(append(line, '\n')) // a node that is gone hears nothing
+	}
+}
