Tell one emulated request's whole life, and write a run for a trace viewer

Change: World.Watch is told of each step of each request, with its caller and on its nodes; sloehitch-lab trace prints one request's steps with the time between them and writes all in the Trace Event Format. Nothing is kept where nobody watches.

--- a/cmd/sloehitch-lab/experiment.go
+++ b/cmd/sloehitch-lab/experiment.go
@@ -69,6 +69,35 @@
 	return out
 }
 
+type traceCmd struct {
+	File    string  `arg:"" type:"existingfile" help:"The experiment."`
+	Request string  `default:"r1000" help:"Whose life is told: r1, r2 and so on, as they come."`
+	Arm     string  `help:"Of which arm; by default the first."`
+	Load    float64 `help:"At which load of the sweep; by default the first."`
+	Seed    uint64  `default:"1"`
+	Out     string  `type:"path" help:"A file for all requests, in the Trace Event Format of trace viewers."`
+}
+
+// Run plays one run and tells the life of one of its requests.
+func (c *traceCmd) Run() error {
+	f, err := experiment.Read(c.File)
+	if err != nil {
+		return err
+	}
+	steps, err := f.Watch(c.Arm, c.Load, c.Seed)
+	if err != nil {
+		return err
+	}
+	if err := emulator.Life(os.Stdout, steps, c.Request); err != nil || c.Out == "" {
+		return err
+	}
+	out, err := os.Create(c.Out)
+	if err != nil {
+		return err
+	}
+	return errors.Join(emulator.Trace(out, steps), out.Close())
+}
+
 type loadCmd struct {
 	File    string `arg:"" type:"existingfile" help:"The experiment; its worlds are played with the daemon's decisions, in the emulator and for real."`
 	Out     string `required:"" type:"path" help:"A new folder for the results."`
--- a/cmd/sloehitch-lab/main.go
+++ b/cmd/sloehitch-lab/main.go
@@ -19,6 +19,7 @@
 	Uwsgi  uwsgiCmd  `cmd:"" help:"Speak uwsgi."`
 	Run    runCmd    `cmd:"" help:"Play an experiment in the emulator, and report it."`
 	Load   loadCmd   `cmd:"" help:"Play an experiment's load against real daemons on loopback, and hold the emulator against them."`
+	Trace  traceCmd  `cmd:"" help:"Tell the life of one emulated request, and write all of them for a trace viewer."`
 	Report reportCmd `cmd:"" help:"Print and draw what a folder of results holds."`
 	Diff   diffCmd   `cmd:"" help:"Say what changed between two folders of results, and whether it is beyond noise."`
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math"
@@ -328,6 +329,54 @@
 	}
 }
 
+// TestTrace: the steps of one request tell where it was when, and all of them make a file that a viewer reads.
+func TestTrace(t *testing.T) {
+	w := clinic(2, 1.5, "sloehitch")
+	w.Length, w.WarmUp = 3*time.Second, 0
+	var steps []Step
+	w.Watch = func(s Step) { steps = append(steps, s) }
+	r, err := Play(w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var life, file strings.Builder
+	if err := Life(&life, steps, "r5"); err != nil {
+		t.Fatal(err)
+	}
+	at := 0
+	for _, want := range []string{"caller", "come", "sent", "offered", "run", "served", "ended", "in aim"} {
+		i := strings.Index(life.String()[at:], want)
+		if i < 0 {
+			t.Fatalf("no %q after byte %d of\n%s", want, at, &life)
+		}
+		at += i
+	}
+	if err := Life(&life, steps, "r999999"); err == nil {
+		t.Error("a request that never came: no error")
+	}
+	if err := Trace(&file, steps); err != nil {
+		t.Fatal(err)
+	}
+	var read struct {
+		TraceEvents []struct {
+			Name string
+			Dur  float64
+		}
+	}
+	if err := json.Unmarshal([]byte(file.String()), &read); err != nil {
+		t.Fatal(err)
+	}
+	ended, offered := 0, r.Classes[0].Offered+r.Classes[1].Offered
+	for _, e := range read.TraceEvents {
+		if word := strings.Fields(e.Name); len(word) > 1 && e.Dur == 0 && !strings.Contains(word[0], ".") {
+			ended++
+		}
+	}
+	if ended < offered {
+		t.Errorf("%d of %d requests end in the file", ended, offered)
+	}
+}
+
 // BenchmarkPlay is how fast so many nodes are played that get 230 requests a second together, 93% of what they can do.
 func BenchmarkPlay(b *testing.B) {
 	for _, nodes := range []int{4, 16, 100, 1000} {
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -15,17 +15,18 @@
 
 // Try is one request to one node.
 type Try struct {
-	ID     string
-	Class  int
-	Tenant int
-	KB     float64
-	Work   float64       // to do, in seconds of a core of speed 1
-	Hint   time.Duration // what the caller says of it; rough
-	Sent   time.Time     // by its caller
-	Due    time.Time     // when its caller gives up
-	Retry  bool
-	Source int
-	Key    string // of a keyed class
+	ID      string
+	Request string // the ID of the first try of the same request
+	Class   int
+	Tenant  int
+	KB      float64
+	Work    float64       // to do, in seconds of a core of speed 1
+	Hint    time.Duration // what the caller says of it; rough
+	Sent    time.Time     // by its caller
+	Due     time.Time     // when its caller gives up
+	Retry   bool
+	Source  int
+	Key     string // of a keyed class
 }
 
 // Server is what decides on one machine. Its methods are called from the clock, and its answers may come before they
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -35,6 +35,7 @@
 	seed     uint64
 	begun    time.Time
 	broken   func(*Broken)
+	watch    func(what string, t *Try)
 
 	open    map[*Try]*watched
 	keys    map[string]time.Time // when the try that ran came
@@ -156,6 +157,7 @@
 func (k *rules) note(what string, t *Try) {
 	k.last[k.lasts%len(k.last)] = happened{k.clock.Now(), what, t.ID}
 	k.lasts++
+	k.watch(what, t)
 }
 
 func (k *rules) breaks(rule, what string) {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -78,6 +78,25 @@
 	// machine's clock lets servers be real ones (package rig). Begin is when the clock begins; zero: always the same.
 	Drive func(c *clock.Virtual, until time.Time)
 	Begin time.Time
+
+	Watch func(Step) // is told of each step of each request; nil: nobody is
+}
+
+// Step is one thing that happened to a request.
+type Step struct {
+	At      time.Duration // since the beginning
+	Request string
+	Try     string // empty: it is of the request as a whole
+	Node    string // empty: it is with its caller
+	What    string // come, sent, offered, run, done, served, refused, failed, gone, waits, or how it ended: in aim, late, refused, failed, expired
+	More    string
+}
+
+// tell tells whoever watches of a step.
+func (p *play) tell(request, try, node, what, more string) {
+	if p.Watch != nil {
+		p.Watch(Step{p.clock.Now().Sub(p.begun), request, try, node, what, more})
+	}
 }
 
 // Fault is something that happens to a node.
@@ -294,6 +313,7 @@
 	h.machine = NewMachine(p.clock, p.Cores, p.World.Speed, p.Thrash, p.ThrashAt)
 	h.server = &rules{clock: p.clock, settings: settings, name: h.name, seed: p.Seed, begun: p.begun, open: map[*Try]*watched{}, keys: map[string]time.Time{},
 		broken: func(b *Broken) { p.result.Broken = append(p.result.Broken, b) }}
+	h.server.watch = func(what string, t *Try) { p.tell(t.Request, t.ID, h.name, what, "") }
 	h.server.Server = p.Policy(Site{Clock: p.clock, Machine: h.machine, Settings: settings, Ran: h.server.ran})
 }
 
@@ -412,7 +432,8 @@
 	if r.class.HintCV > 0 {
 		hint *= Sizes{Mean: 1, CV: r.class.HintCV, Kind: "lognormal"}.Draw(hints)
 	}
-	r.try = Try{ID: fmt.Sprint("r", p.ids), Class: class, Tenant: -1, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
+	id := fmt.Sprint("r", p.ids)
+	r.try = Try{ID: id, Request: id, Class: class, Tenant: -1, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
 	if r.class.Keyed {
 		r.try.Key = r.try.ID
 	}
@@ -424,6 +445,9 @@
 	}
 	// An answer may come as late as the grace allows, and has a way to go.
 	r.expiry = p.clock.AfterFunc(r.class.Deadline+answerGrace+2*p.Hop+time.Millisecond, r.expire)
+	if p.Watch != nil {
+		p.tell(id, "", "", "come", fmt.Sprintf("%s, %.1f ms of work, by balancer %d", r.class.Name, work*1000, r.caller.number))
+	}
 	r.caller.budget = min(saved, r.caller.budget+p.Budget)
 	r.send()
 }
@@ -462,6 +486,7 @@
 	h := r.nodes[at]
 	r.now, r.at, r.avoid = &t, h, at
 	r.caller.open[at]++
+	r.tell(t.Request, t.ID, h.name, "sent", "")
 	r.clock.AfterFunc(r.Hop, func() {
 		if h.gone {
 			r.back(at, &t, node.Answer{Kind: node.Refused}) // nobody listens: it never ran
@@ -512,6 +537,9 @@
 		if r.Heed && a.Holdoff > 0 {
 			wait = a.Holdoff
 		}
+		if r.Watch != nil {
+			r.tell(t.Request, "", "", "waits", wait.String())
+		}
 		r.clock.AfterFunc(wait, func() {
 			if !r.ended {
 				r.send()
@@ -564,6 +592,10 @@
 	}
 	r.ended = true
 	*count++
+	if r.Watch != nil {
+		ends := map[*int]string{&r.tally.InAim: "in aim", &r.tally.Late: "late", &r.tally.Refused: "refused", &r.tally.Failed: "failed", &r.tally.Expired: "expired"}
+		r.tell(r.try.ID, "", "", "ended", fmt.Sprintf("%s, %v after it came", ends[count], r.clock.Now().Sub(r.born)))
+	}
 	r.expiry.Stop()
 	r.mark()
 	r.open--
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -219,6 +219,23 @@
 	return rows
 }
 
+// Watch plays one run and returns all steps of all its requests: of the arm and at the load named, or the first ones.
+func (f *File) Watch(arm string, load float64, seed uint64) (steps []emulator.Step, err error) {
+	for _, j := range f.jobs() {
+		if arm != "" && j.arm.Name != arm || load != 0 && j.point.Load != load {
+			continue
+		}
+		w, err := f.world(j.point, j.arm, seed)
+		if err != nil {
+			return nil, err
+		}
+		w.Watch = func(s emulator.Step) { steps = append(steps, s) }
+		_, err = emulator.Play(w)
+		return steps, err
+	}
+	return nil, fmt.Errorf("the experiment has no arm %q at a load of %v", arm, load)
+}
+
 // Compare plays the daemon's decisions twice at each point, on the same seeds: in the emulator, and by real against real
 // daemons, one run after another. The rows, of arms "emulator" and "daemon", are kept in dir for a report. broken is told
 // of rules that the real ones broke: there a slow machine may be at fault.
