Emulate a dependency that runs call and tenants with quotas

Change: runs of classes that call stand half way through their work at a service with slots and a queue, through the core's own Caller: the module paces the calls, gives up on them and goes on; a fault slows the service. What the runtime does with a run at a call whose request is over, the emulated one does. Tenants have shares and quotas.

A greedy tenant gives way in the test.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -329,6 +329,75 @@
 	}
 }
 
+// TestDependency: with room in the dependency its calls add their time and no more; while it is slow, or too small,
+// what can't be done in time is refused or failed, the rules are kept, and it is whole again soon after.
+func TestDependency(t *testing.T) {
+	play := func(policy string, slots int, faults ...Fault) (*Result, float64) {
+		t.Helper()
+		w := clinic(4, 0.6, policy)
+		w.Length, w.WarmUp, w.Burst, w.Faults = 20*time.Second, 2*time.Second, 0, faults
+		w.Below = &Dependency{Slots: slots, Service: Sizes{Mean: 0.03, CV: 0.5, Kind: "lognormal"}, Waiting: 2 * slots}
+		for i := range w.Classes {
+			w.Classes[i].Calls = true
+		}
+		r, err := Play(w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range r.Classes {
+			if sum := c.InAim + c.Late + c.Refused + c.Failed + c.Expired; sum != c.Offered {
+				t.Errorf("%s, %d slots: %d offered, %d ended", policy, slots, c.Offered, sum)
+			}
+		}
+		for _, b := range r.Broken {
+			if policy == "sloehitch" {
+				t.Fatalf("%s, %d slots: %v", policy, slots, b)
+			}
+		}
+		return r, r.Goodput(&w)
+	}
+	// 238 calls a second of 30 ms want 7.2 slots.
+	ample, all := play("sloehitch", 60)
+	if all < 0.98 || ample.Classes[0].Latency.Mean() < 80_000 {
+		t.Errorf("ample: goodput %.3f, searches take %.0f us", all, ample.Classes[0].Latency.Mean())
+	}
+	if _, plain := play("none", 60); plain < 0.98 {
+		t.Errorf("ample, without a limit: goodput %.3f", plain)
+	}
+	if _, few := play("sloehitch", 4); few < 0.3 || few > 0.8 {
+		t.Errorf("half of the slots that are wanted: goodput %.3f", few)
+	}
+	if _, slow := play("sloehitch", 60, Fault{At: 6 * time.Second, Kind: Below, Length: 4 * time.Second, Factor: 0.05}); slow < 0.7 || slow >= all {
+		t.Errorf("slow for 4 of 18 s: goodput %.3f", slow)
+	}
+}
+
+// TestTenants: a tenant beyond its share gives way to those within theirs.
+func TestTenants(t *testing.T) {
+	w := clinic(6, 1.5, "sloehitch")
+	w.Burst, w.Retries = 0, 0
+	rate := w.rate()
+	w.Tenants = []Tenant{{Name: "greedy", Share: 3, Quota: rate / 6}, {Name: "modest", Share: 1, Quota: rate / 2}}
+	served, offered := [2]int{}, [2]int{}
+	whose := map[string]int{}
+	w.Watch = func(s Step) {
+		switch {
+		case s.What == "come":
+			whose[s.Request] = strings.Count(s.More, "modest")
+			offered[whose[s.Request]]++
+		case s.What == "ended" && strings.HasPrefix(s.More, "in aim"):
+			served[whose[s.Request]]++
+		}
+	}
+	if _, err := Play(w); err != nil {
+		t.Fatal(err)
+	}
+	greedy, modest := float64(served[0])/float64(offered[0]), float64(served[1])/float64(offered[1])
+	if offered[0] < 2*offered[1] || modest < 0.9 || modest < greedy+0.15 {
+		t.Errorf("%d and %d offered; of the greedy one's %.2f served, of the modest one's %.2f", offered[0], offered[1], greedy, modest)
+	}
+}
+
 // TestTrace: the steps of one request tell where it was when, and all of them make a file that a viewer reads.
 func TestTrace(t *testing.T) {
 	w := clinic(2, 1.5, "sloehitch")
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -49,6 +49,25 @@
 	Settings logic.Settings
 	// Ran is to be called as a try's run is started.
 	Ran func(*Try)
+
+	below *below // what runs of classes that call it call; nil: nothing
+}
+
+// work does a try's work: all of it, or with a call half way. done is told how it ended.
+func (s Site) work(t *Try, done func(o logic.Outcome)) {
+	if s.below == nil || !s.Settings.Classes[t.Class].Calls {
+		s.Machine.Add(t.Work, func() { done(logic.OK) })
+		return
+	}
+	s.Machine.Add(t.Work/2, func() {
+		s.below.call(func(o logic.Outcome, _ time.Duration) {
+			if o != logic.OK {
+				done(logic.Failed)
+				return
+			}
+			s.Machine.Add(t.Work/2, func() { done(logic.OK) })
+		})
+	})
 }
 
 // Policies makes servers by name: "sloehitch" is the daemon's core and decisions; the others are small and stand for
@@ -149,10 +168,14 @@
 	q.running++
 	beside, began := q.running, q.site.Clock.Now()
 	q.site.Ran(r.try)
-	q.site.Machine.Add(r.try.Work, func() {
+	q.site.work(r.try, func(o logic.Outcome) {
 		q.running--
 		if delete(q.open, r.try); !r.gone {
-			r.answer(node.Answer{Kind: node.Served})
+			kind := node.Served
+			if o != logic.OK {
+				kind = node.Failed
+			}
+			r.answer(node.Answer{Kind: kind})
 		}
 		if q.adapt != nil {
 			q.adapt(q, beside, q.site.Clock.Now().Sub(began))
@@ -261,12 +284,19 @@
 	runs map[string]*run
 	ids  map[*Try]string
 	next int
+
+	calls int
 }
 
 // run is one piece of work that the core has started.
 type run struct {
 	work  *Work
 	since time.Time
+	rest  float64 // work after the call that it is to make or stands at
+	call  *dependent
+	late  clock.Timer
+
+	standing, over bool // at its call; nobody waits for it any more
 }
 
 func newReal(s Site) Server {
@@ -281,7 +311,11 @@
 	if r.gate, err = gate.New(s.Settings, options); err != nil {
 		panic(err) // the world's settings were checked as it was made
 	}
-	r.node = node.New(node.Options{Settings: s.Settings, Gate: r.gate, Clock: s.Clock, Limits: lim, Log: quiet})
+	o := node.Options{Settings: s.Settings, Gate: r.gate, Clock: s.Clock, Limits: lim, Log: quiet}
+	if s.below != nil {
+		o.Caller = caller{r}
+	}
+	r.node = node.New(o)
 	r.sweep(lim.Sweep)
 	return r
 }
@@ -302,6 +336,7 @@
 		Arrived: r.site.Clock.Now(), Wait: t.Due.Sub(r.site.Clock.Now()), Key: t.Key, Runner: runner{r, t}, Front: "emulator"},
 		func(a node.Answer) {
 			delete(r.ids, t)
+			r.over(id)
 			r.site.Clock.AfterFunc(0, func() { answer(a) }) // the core is not to be called from within
 		})
 }
@@ -310,6 +345,7 @@
 	if id, ok := r.ids[t]; ok {
 		delete(r.ids, t)
 		r.node.Gone(id)
+		r.over(id)
 	}
 }
 
@@ -326,23 +362,94 @@
 	w := &run{since: r.site.Clock.Now()}
 	r.runs[id] = w
 	r.site.Ran(r.try)
-	w.work = r.site.Machine.Add(r.try.Work, func() {
+	if r.site.below == nil || !r.site.Settings.Classes[r.try.Class].Calls {
+		w.work = r.site.Machine.Add(r.try.Work, func() { r.ended(id, w) })
+		return
+	}
+	w.rest = r.try.Work / 2
+	w.work = r.site.Machine.Add(r.try.Work/2, func() {
+		if w.standing = true; w.over {
+			r.over(id)
+			return
+		}
+		r.calls++
+		r.node.Wants(id, uint64(r.calls), nil)
+	})
+}
+
+// over is told that a try is answered or its caller gone: its run ends where it stands at a call, or as it comes to one.
+func (r *real) over(id string) {
+	w := r.runs[id]
+	if w == nil {
+		return
+	}
+	if w.over = true; w.standing {
 		delete(r.runs, id)
-		r.node.Ended(id, logic.OK, r.site.Clock.Now().Sub(w.since), nil)
+		r.site.Clock.AfterFunc(0, func() { r.node.Ended(id, logic.Cancelled, r.site.Clock.Now().Sub(w.since), nil) })
+	}
+}
+
+func (r *real) ended(id string, w *run) {
+	delete(r.runs, id)
+	r.node.Ended(id, logic.OK, r.site.Clock.Now().Sub(w.since), nil)
+}
+
+// resume goes on with a run that stood at a call.
+func (r *real) resume(id string) {
+	if w := r.runs[id]; w != nil && w.rest > 0 {
+		rest := w.rest
+		w.rest, w.standing = 0, false
+		// Not at once: the core is not to be called from within.
+		r.site.Clock.AfterFunc(0, func() { w.work = r.site.Machine.Add(rest, func() { r.ended(id, w) }) })
+	}
+}
+
+// caller makes the core's calls.
+type caller struct{ *real }
+
+func (c caller) Call(id string, patience time.Duration, _ []byte, _ bool, done func(o gate.Outcome, took time.Duration, reply []byte)) {
+	w := c.runs[id]
+	if w == nil {
+		return
+	}
+	c.site.Clock.AfterFunc(0, func() { // not from within the core
+		var late clock.Timer
+		d := c.site.below.call(func(o logic.Outcome, took time.Duration) {
+			late.Stop()
+			done(o, took, nil)
+		})
+		w.call = d
+		late = c.site.Clock.AfterFunc(patience, func() {
+			c.site.below.quit(d)
+			done(logic.TimedOut, patience, nil)
+		})
+		w.late = late
 	})
 }
 
+func (c caller) Quit(id string) {
+	if w := c.runs[id]; w != nil && w.call != nil {
+		c.site.below.quit(w.call)
+		w.late.Stop()
+	}
+}
+
 // Stop ends a run: the module stops only what nobody waits for any more, and the runtime confirms that with an end.
 func (r runner) Stop(id string) {
 	w := r.runs[id]
 	if w == nil {
 		return
 	}
+	if w.work.index < 0 {
+		return // it stands at a call
+	}
 	r.site.Machine.Remove(w.work)
 	delete(r.runs, id)
 	r.site.Clock.AfterFunc(0, func() { r.node.Ended(id, logic.Cancelled, r.site.Clock.Now().Sub(w.since), nil) })
 }
 
-func (r runner) Continue(string)     {}
-func (r runner) Give(string, []byte) {}
-func (r runner) Omit(string, uint64) {}
+func (r runner) Continue(string) {}
+
+// Give and Omit have a run go on that stands at a call.
+func (r runner) Give(id string, _ []byte) { r.resume(id) }
+func (r runner) Omit(id string, _ uint64) { r.resume(id) }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -27,9 +27,17 @@
 	Worth    float64
 	Keyed    bool
 	Window   time.Duration // of a keyed class
+	Calls    bool          // its runs call the dependency half way
 	HintCV   float64       // how rough the callers' word of the work is; 0: exact
 }
 
+// Tenant is one customer.
+type Tenant struct {
+	Name  string
+	Share float64 // of the requests
+	Quota float64 // requests a second inside its share, over all nodes
+}
+
 // Habit is how a balancer chooses a node.
 type Habit string
 
@@ -60,6 +68,9 @@
 	Burst   float64 // how much more comes in the upper half of each BurstEvery, and less in the lower; 0 to 1
 	Every   time.Duration
 
+	Below   *Dependency // of the classes that call; nil: none do
+	Tenants []Tenant    // whose requests they are; none: nobody's
+
 	Balancers int
 	Habit     Habit
 	Retries   int
@@ -117,6 +128,7 @@
 	Slow  Kind = "slow"  // they go at Factor of their speed for Length
 	Leave Kind = "leave" // it is told to stop, and is gone after Length
 	Die   Kind = "die"   // it is gone at once with all that it had in hand
+	Below Kind = "below" // the dependency goes at Factor of its speed for Length; Node counts for nothing
 	Lossy Kind = "lossy" // of what is sent to it and comes back, Factor is lost for Length
 )
 
@@ -139,6 +151,15 @@
 		want(c.Share > 0 && c.Work.Mean > 0 && c.Aim > 0 && c.Deadline >= c.Aim, fmt.Sprintf("class %q: share, work and aim must be above 0, and the deadline no sooner than the aim", c.Name))
 		want(!c.Keyed || c.Window > 0, fmt.Sprintf("class %q: a keyed class needs a window above 0", c.Name))
 	}
+	calls := false
+	for _, c := range w.Classes {
+		calls = calls || c.Calls
+	}
+	want(!calls || w.Below != nil, "classes call a dependency, and there is none")
+	want(w.Below == nil || w.Below.Slots > 0 && w.Below.Service.Mean > 0 && w.Below.Waiting >= 0, "the dependency's slots and service must be above 0")
+	for _, t := range w.Tenants {
+		want(t.Name != "" && t.Share > 0 && t.Quota >= 0, fmt.Sprintf("tenant %q: a name and a share above 0 are wanted", t.Name))
+	}
 	want(w.Budget >= 0 && w.Notice >= 0, "budget and notice must not be below 0")
 	want(w.ColdFrom >= 0 && w.ColdFrom <= 1, "cold_from must be from 0 to 1")
 	switch w.Habit {
@@ -150,10 +171,11 @@
 		want(f.Node >= 0 && f.Node < w.Nodes, fmt.Sprintf("a fault of node %d, of %d", f.Node, w.Nodes))
 		switch f.Kind {
 		case Stall, Leave, Die:
-		case Slow, Lossy:
+		case Slow, Lossy, Below:
+			want(f.Kind != Below || w.Below != nil, "a fault of the dependency, and there is none")
 			want(f.Factor > 0 && f.Factor <= 1, fmt.Sprintf("a fault %q wants a factor above 0, 1 at most", f.Kind))
 		default:
-			want(false, fmt.Sprintf("no fault %q: stall, slow, leave, die or lossy", f.Kind))
+			want(false, fmt.Sprintf("no fault %q: stall, slow, leave, die, lossy or below", f.Kind))
 		}
 	}
 	_, err := logic.New(w.Settings(), 0)
@@ -167,8 +189,15 @@
 func (w *World) Settings() logic.Settings {
 	s := logic.Settings{Cores: w.Cores, MemoryKB: w.MemoryKB, RunFactor: 4, CrowdFactor: max(1, w.Crowd), CrowdSpan: 1500000, Servers: w.Nodes,
 		AnswerGrace: logic.Micros(answerGrace.Microseconds()), DrainGrace: 2000000, Tick: 4000, Stop: logic.StopFreeze, MaxAdvice: 1000000}
+	for _, t := range w.Tenants {
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	s.OverShareWorth = 0.05
+	if w.Below != nil { // the share of the slots, and of as much again that may wait, that a node can count on
+		s.CallsShare, s.CallsSpan, s.CallLinger = 2*float64(w.Below.Slots)/float64(w.Nodes), 5000000, 200000
+	}
 	for _, c := range w.Classes {
-		class := logic.Class{Name: c.Name, Aim: logic.Micros(c.Aim.Microseconds()), Deadline: logic.Micros(c.Deadline.Microseconds()), Worth: c.Worth}
+		class := logic.Class{Name: c.Name, Aim: logic.Micros(c.Aim.Microseconds()), Deadline: logic.Micros(c.Deadline.Microseconds()), Worth: c.Worth, Calls: c.Calls}
 		if c.Keyed {
 			class.Effect, class.Window = logic.Keyed, logic.Micros(c.Window.Microseconds())
 		}
@@ -229,6 +258,7 @@
 	result  *Result
 	ids     int
 	listed  []int // room for choose
+	below   *below
 	tries   map[*Try]*request
 
 	open   int // requests in the system
@@ -271,6 +301,9 @@
 	}
 	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{}, tries: map[*Try]*request{}}
 	settings := w.Settings()
+	if w.Below != nil {
+		p.below = &below{Dependency: *w.Below, clock: p.clock, random: p.streams.Stream("dependency"), speed: 1}
+	}
 	for i := range w.Nodes {
 		h := &host{name: fmt.Sprint("n", i), listed: true, loss: p.streams.Stream(fmt.Sprint("loss ", i))}
 		p.begin(h, settings)
@@ -314,7 +347,7 @@
 	h.server = &rules{clock: p.clock, settings: settings, name: h.name, seed: p.Seed, begun: p.begun, open: map[*Try]*watched{}, keys: map[string]time.Time{},
 		broken: func(b *Broken) { p.result.Broken = append(p.result.Broken, b) }}
 	h.server.watch = func(what string, t *Try) { p.tell(t.Request, t.ID, h.name, what, "") }
-	h.server.Server = p.Policy(Site{Clock: p.clock, Machine: h.machine, Settings: settings, Ran: h.server.ran})
+	h.server.Server = p.Policy(Site{Clock: p.clock, Machine: h.machine, Settings: settings, Ran: h.server.ran, below: p.below})
 }
 
 // end has a node gone with all that it has in hand, and has it come back if it is to.
@@ -433,7 +466,8 @@
 		hint *= Sizes{Mean: 1, CV: r.class.HintCV, Kind: "lognormal"}.Draw(hints)
 	}
 	id := fmt.Sprint("r", p.ids)
-	r.try = Try{ID: id, Request: id, Class: class, Tenant: -1, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
+	tenant := p.drawTenant(sizes)
+	r.try = Try{ID: id, Request: id, Class: class, Tenant: tenant, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
 	if r.class.Keyed {
 		r.try.Key = r.try.ID
 	}
@@ -446,12 +480,34 @@
 	// An answer may come as late as the grace allows, and has a way to go.
 	r.expiry = p.clock.AfterFunc(r.class.Deadline+answerGrace+2*p.Hop+time.Millisecond, r.expire)
 	if p.Watch != nil {
-		p.tell(id, "", "", "come", fmt.Sprintf("%s, %.1f ms of work, by balancer %d", r.class.Name, work*1000, r.caller.number))
+		whose := ""
+		if tenant >= 0 {
+			whose = ", of " + p.Tenants[tenant].Name
+		}
+		p.tell(id, "", "", "come", fmt.Sprintf("%s%s, %.1f ms of work, by balancer %d", r.class.Name, whose, work*1000, r.caller.number))
 	}
 	r.caller.budget = min(saved, r.caller.budget+p.Budget)
 	r.send()
 }
 
+// drawTenant is whose request it is; -1: nobody's.
+func (p *play) drawTenant(r *rand.Rand) int {
+	if len(p.Tenants) == 0 {
+		return -1
+	}
+	sum := 0.0
+	for _, t := range p.Tenants {
+		sum += t.Share
+	}
+	x := r.Float64() * sum
+	for i, t := range p.Tenants {
+		if x -= t.Share; x < 0 {
+			return i
+		}
+	}
+	return len(p.Tenants) - 1
+}
+
 func (p *play) drawClass(r *rand.Rand) int {
 	sum := 0.0
 	for _, c := range p.Classes {
@@ -664,6 +720,9 @@
 		}
 		h.machine.Speed(speed * p.World.Speed)
 		p.clock.AfterFunc(f.Length, still(func() { h.machine.Speed(p.World.Speed) }))
+	case Below:
+		p.below.speed = f.Factor
+		p.clock.AfterFunc(f.Length, func() { p.below.speed = 1 })
 	case Lossy:
 		h.lossy = f.Factor
 		p.clock.AfterFunc(f.Length, func() { h.lossy = 0 })
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -61,6 +61,8 @@
 		{"no such habit", `habit = "round-robin"`, `habit = "robin"`, `no habit "robin"`},
 		{"cut short", `[sweep]`, `[swe`, `26: `},
 		{"the deadline before the aim", `deadline = "1s"`, `deadline = "1ms"`, `no sooner than the aim`},
+		{"calls of nothing", `aim = "300ms"`, "aim = \"300ms\"\ncalls = true", `classes call a dependency, and there is none`},
+		{"a tenant without a share", `[sweep]`, "[[tenant]]\nname = \"a\"\n[sweep]", `tenant "a": a name and a share above 0`},
 		{"no such distribution", `cv = 1.0`, `dist = "gamma"`, `no dist "gamma"`},
 	} {
 		text := strings.Replace(small, c.old, c.new, 1)
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -56,12 +56,14 @@
 	Length Span   `toml:"length"` // of arrivals
 	WarmUp Span   `toml:"warmup"` // of them, that count for nothing
 
-	World   World   `toml:"world"`
-	Callers Callers `toml:"callers"`
-	Classes []Class `toml:"class"`
-	Faults  []Fault `toml:"fault"`
-	Sweep   Sweep   `toml:"sweep"`
-	Arms    []Arm   `toml:"arm"`
+	World   World    `toml:"world"`
+	Callers Callers  `toml:"callers"`
+	Classes []Class  `toml:"class"`
+	Below   *Below   `toml:"below"`
+	Tenants []Tenant `toml:"tenant"`
+	Faults  []Fault  `toml:"fault"`
+	Sweep   Sweep    `toml:"sweep"`
+	Arms    []Arm    `toml:"arm"`
 
 	text []byte
 }
@@ -106,6 +108,22 @@
 	Keyed    bool    `toml:"keyed"`
 	Window   Span    `toml:"window"`
 	HintCV   float64 `toml:"hint_cv"`
+	Calls    bool    `toml:"calls"`
+}
+
+// Below is the dependency that classes call.
+type Below struct {
+	Slots   int     `toml:"slots"`
+	Service Span    `toml:"service"`
+	CV      float64 `toml:"cv"`
+	Waiting int     `toml:"waiting"`
+}
+
+// Tenant is one customer.
+type Tenant struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`
+	Quota float64 `toml:"quota"` // requests a second, over all nodes
 }
 
 // Fault is something that happens to a node.
@@ -261,7 +279,17 @@
 			return w, fmt.Errorf("class %q: no dist %q: lognormal, exponential or fixed", c.Name, kind)
 		}
 		w.Classes = append(w.Classes, emulator.Class{Name: c.Name, Share: c.Share, Work: emulator.Sizes{Mean: c.Work.Duration.Seconds(), CV: c.CV, Kind: kind},
-			Aim: c.Aim.Duration, Deadline: c.Deadline.Duration, Worth: c.Worth, Keyed: c.Keyed, Window: c.Window.Duration, HintCV: c.HintCV})
+			Aim: c.Aim.Duration, Deadline: c.Deadline.Duration, Worth: c.Worth, Keyed: c.Keyed, Window: c.Window.Duration, HintCV: c.HintCV, Calls: c.Calls})
+	}
+	if b := f.Below; b != nil {
+		kind := "fixed"
+		if b.CV > 0 {
+			kind = "lognormal"
+		}
+		w.Below = &emulator.Dependency{Slots: b.Slots, Waiting: b.Waiting, Service: emulator.Sizes{Mean: b.Service.Seconds(), CV: b.CV, Kind: kind}}
+	}
+	for _, t := range f.Tenants {
+		w.Tenants = append(w.Tenants, emulator.Tenant{Name: t.Name, Share: t.Share, Quota: t.Quota})
 	}
 	for _, x := range f.Faults {
 		w.Faults = append(w.Faults, emulator.Fault{At: x.At.Duration, Node: x.Node, Kind: emulator.Kind(x.Kind), Length: x.Length.Duration, Factor: x.Factor, Return: x.Return.Duration})
