Start though the process before still has other addresses, and take them later

Need: only the clients' listener is inherited; a new process with metrics, uwsgi or the store's operators on could not start beside the old one, which has those addresses: address already in use.

Change: where a process may be replacing another, such an address is tried again until it is free, and the clients are served meanwhile; elsewhere it is an error at the start as before. The memory that each of two processes may plan with is 12 MB at the least (half of the soft limit of a 32 MB node would have left collecting little else to do). Test: two real processes with one address for metrics.

--- a/cmd/sloehitch-lab/experiment.go
+++ b/cmd/sloehitch-lab/experiment.go
@@ -35,6 +35,7 @@
 	if c.Workers <= 0 {
 		c.Workers = runtime.GOMAXPROCS(0)
 	}
+	debug.SetGCPercent(400) // runs make much that is short-lived, and little that stays
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	began, line := time.Now(), isatty.IsTerminal(os.Stderr.Fd())
--- a/cmd/sloehitch/handover.go
+++ b/cmd/sloehitch/handover.go
@@ -84,7 +84,7 @@
 		d.gate.Share(is.Cores)
 	}
 	if is.Memory != was.Memory {
-		debug.SetMemoryLimit(int64(is.Memory * float64(d.limits.MemoryBytes)))
+		debug.SetMemoryLimit(max(d.limits.MemoryLeast, int64(is.Memory*float64(d.limits.MemoryBytes))))
 	}
 	if is.Connections != was.Connections {
 		d.front.Resize(is.Connections)
--- a/cmd/sloehitch/handover_test.go
+++ b/cmd/sloehitch/handover_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -179,7 +180,10 @@
 // answers their repeats.
 func TestHandOverWithLedger(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "ledger")
-	s := newSharing(t, fmt.Sprintf("[ledger]\ndir = %q\n", folder))
+	free := standin.Listen(t) // for an address that only one process at a time can have
+	figures := free.Addr().String()
+	free.Close()
+	s := newSharing(t, fmt.Sprintf("[ledger]\ndir = %q\n[metrics]\nlisten = %q\n", folder, figures))
 	id := 0
 	ask := func(body string) string {
 		t.Helper()
@@ -239,6 +243,16 @@
 		t.Fatalf("%v:\n%s", err, old.log.String())
 	}
 	results["after"] = ask("after")
+	for until := time.Now().Add(standin.Patience); ; time.Sleep(time.Millisecond) { // the new process takes the address over
+		got, err := http.Get("http://" + figures + "/metrics")
+		if err == nil {
+			got.Body.Close()
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("no figures from the new process: %v", err)
+		}
+	}
 	for body := range results {
 		onRecord(body)
 	}
--- /dev/null
+++ b/cmd/sloehitch/listen.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// listeners are what the daemon listens on, until it leaves.
+type listeners struct {
+	mu     sync.Mutex
+	all    []net.Listener
+	closed bool
+}
+
+// add keeps a listener; one that comes after close is closed at once.
+func (l *listeners) add(ln net.Listener) (open bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		ln.Close()
+		return false
+	}
+	l.all = append(l.all, ln)
+	return true
+}
+
+// close closes all.
+func (l *listeners) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, ln := range l.all {
+		ln.Close()
+	}
+}
+
+func (l *listeners) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
+
+// serveOn listens and serves in the background. Where a process replaces another (the platform holds the clients'
+// listener) that one may still have the address: it is taken as soon as it is free, and the clients don't wait for it.
+func (d *daemon) serveOn(what string, listen func() (net.Listener, error), serve func(net.Listener) error) error {
+	ln, err := listen()
+	if errors.Is(err, syscall.EADDRINUSE) && os.Getenv("GW_ACCEPT_FD") != "" {
+		d.log.Info("an address is taken: waiting for the process before to leave it", "for", what, "error", err)
+		go d.serveLater(what, listen, serve)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if d.listeners.add(ln) {
+		go d.served(ln, serve)
+	}
+	return nil
+}
+
+// served serves until the listener is closed, which is no failure.
+func (d *daemon) served(ln net.Listener, serve func(net.Listener) error) {
+	if err := serve(ln); err != nil {
+		d.failed <- err
+	}
+}
+
+// serveLater tries again until the address is free or the daemon leaves.
+func (d *daemon) serveLater(what string, listen func() (net.Listener, error), serve func(net.Listener) error) {
+	for !d.listeners.isClosed() {
+		time.Sleep(d.limits.RetryLeast)
+		ln, err := listen()
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			d.failed <- err
+			return
+		}
+		if d.listeners.add(ln) {
+			d.log.Info("the address is free", "for", what, "address", ln.Addr().String())
+			d.served(ln, serve)
+		}
+		return
+	}
+}
--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -66,9 +66,7 @@
 	s := &served{d, ln.Addr().String(), lu.Addr().String(), make(chan os.Signal, 1), make(chan error, 1)}
 	go func() { s.stopped <- d.run(s.stop) }()
 	t.Cleanup(func() {
-		for _, ln := range d.listeners {
-			ln.Close()
-		}
+		d.listeners.close()
 	})
 	return s
 }
@@ -745,9 +743,7 @@
 		if d.front.Open() != 3 {
 			t.Fatalf("the process holds %d connections, not its 3", d.front.Open())
 		}
-		for _, ln := range d.listeners {
-			ln.Close() // it takes no more: the next process does
-		}
+		d.listeners.close() // it takes no more: the next process does
 	}
 	conns[0].Do(2, "book", req(2), time.Now(), "a", ",opkey=k1") // the old process runs it
 	if got := conns[0].Read(); len(got) < 2 || got[1] != "ACK" {
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -82,7 +82,7 @@
 	node      *node.Node
 	front     *resp.Front
 	uwsgi     *uwsgi.Front // nil where it is off
-	listeners []net.Listener
+	listeners listeners
 	pulse     *directory.Pulse
 	store     *store.Store
 	metrics   atomic.Pointer[metrics.Metrics] // nil where they are off
@@ -198,7 +198,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_ACCEPT_FD %d: %w", fd, err)
 	}
-	d.listeners = append(d.listeners, ln)
+	d.listeners.add(ln)
 	d.log.Info("clients taken from the inherited listener", "descriptor", fd, "address", ln.Addr().String())
 	return ln, nil
 }
@@ -208,12 +208,11 @@
 	if d.platform.Ops == "" {
 		return nil
 	}
-	ln, err := d.listen(d.platform.Ops)
-	if err != nil {
+	server := ops.New(operator{d}, d.limits, d.log)
+	listen := func() (net.Listener, error) { return net.Listen("tcp", d.platform.Ops) }
+	if err := d.serveOn("ops", listen, server.Serve); err != nil {
 		return fmt.Errorf("ops: %w", err)
 	}
-	server := ops.New(operator{d}, d.limits, d.log)
-	go func() { d.failed <- server.Serve(ln) }()
 	return nil
 }
 
@@ -236,7 +235,7 @@
 func (d *daemon) listen(address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err == nil {
-		d.listeners = append(d.listeners, ln)
+		d.listeners.add(ln)
 	}
 	return ln, err
 }
@@ -263,11 +262,6 @@
 	if err != nil {
 		return err
 	}
-	ln, err := at.Listen(mode, front)
-	if err != nil {
-		return err
-	}
-	d.listeners = append(d.listeners, ln)
 	rules := choice.Default()
 	rules.Most = u.ServerMost
 	d.servers = uwsgi.NewPool(uwsgi.PoolOptions{Rules: rules, Seed: seed(l.platform.Seed), Keys: below, Name: u.ServersTLS.Name, Over: d.runOver, Limits: d.limits, Log: d.log})
@@ -283,8 +277,7 @@
 	d.uwsgi = uwsgi.New(uwsgi.Options{Over: over, Core: d.node, Mapper: l.operations, Pool: d.servers, Limits: d.limits, Log: d.log,
 		Safe: func(class int) bool { return classes[class].Effect == logic.Safe }, Well: func() bool { return !d.closed.Load() },
 		Modifiers: u.ModifierBytes(), Deadline: u.Deadline, HalfClose: u.HalfClose == "leaves", PerSource: u.PerSource, BodyMost: u.BodyMost()})
-	go func() { d.failed <- d.uwsgi.Serve(ln) }()
-	return nil
+	return d.serveOn("uwsgi", func() (net.Listener, error) { return at.Listen(mode, front) }, d.uwsgi.Serve)
 }
 
 // openTraces opens the file for spans where the deployment file names one, and returns who takes requests that are over.
@@ -340,12 +333,8 @@
 	}
 	m := metrics.New(from)
 	d.metrics.Store(m)
-	ln, err := d.listen(address)
-	if err != nil {
-		return err
-	}
-	go func() { d.failed <- m.Serve(ln, d.limits, d.log) }()
-	return nil
+	return d.serveOn("metrics", func() (net.Listener, error) { return net.Listen("tcp", address) },
+		func(ln net.Listener) error { return m.Serve(ln, d.limits, d.log) })
 }
 
 // runOver hands a uwsgi run's times to the metrics, where they are on.
@@ -367,17 +356,13 @@
 	if c.Admin == "" {
 		return nil
 	}
-	ln, err := d.listen(c.Admin)
-	if err != nil {
-		return err
-	}
 	server := &http.Server{Handler: d.store.Handler(), ReadTimeout: d.limits.Agree, WriteTimeout: 2 * d.limits.Agree}
-	go func() {
+	return d.serveOn("admin", func() (net.Listener, error) { return net.Listen("tcp", c.Admin) }, func(ln net.Listener) error {
 		if err := server.Serve(ln); !errors.Is(err, net.ErrClosed) {
-			d.failed <- err
+			return err
 		}
-	}()
-	return nil
+		return nil
+	})
 }
 
 // follow does what a change of the store means here.
@@ -475,9 +460,7 @@
 			d.attach(s)
 		case <-grace:
 			shut = true
-			for _, ln := range d.listeners {
-				ln.Close() // a refused connection proves that nothing ran
-			}
+			d.listeners.close() // a refused connection proves that nothing ran
 			d.front.Leave()
 		case <-look.C:
 			d.share()
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -465,7 +466,7 @@
 	if r.class.HintCV > 0 {
 		hint *= Sizes{Mean: 1, CV: r.class.HintCV, Kind: "lognormal"}.Draw(hints)
 	}
-	id := fmt.Sprint("r", p.ids)
+	id := "r" + strconv.Itoa(p.ids)
 	tenant := p.drawTenant(sizes)
 	r.try = Try{ID: id, Request: id, Class: class, Tenant: tenant, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
 	if r.class.Keyed {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -6,6 +6,7 @@
 // Limits bounds what the program takes, keeps and waits for.
 type Limits struct {
 	MemoryBytes int64 // soft limit of the Go heap, below the platform's cap
+	MemoryLeast int64 // and at the least, however many processes share the cap: below it collecting would be all there is
 
 	Connections int // open in a front at once
 	OpenPerConn int // requests open on one connection
@@ -128,7 +129,7 @@
 func For(memoryMB, sockets int) Limits {
 	memory := int64(max(memoryMB, 32)) << 20
 	return Limits{
-		MemoryBytes: memory * 6 / 10,
+		MemoryBytes: memory * 6 / 10, MemoryLeast: 12 << 20,
 		// Balancers use half of the descriptors. With all parts in use some 7 in 100 are left for links and files.
 		Connections: max(16, sockets*9/16),
 		OpenPerConn: 32, BadPerConn: 4,
