Show tries of keys held by another process among the metrics

Need: whether a hand-over's keys met each other was in the log's totals only. Also: who waits for another process's key is no longer called as this one ends (it would have waited anew, round and round).

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -188,7 +188,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	held, ok := c.table.Find(key, c.opts.Now().UnixNano())
-	if !ok || held.Kind == format.Ended || c.dead[held.Owner] || c.closed {
+	if c.closed {
+		return // this process is about to end
+	}
+	if !ok || held.Kind == format.Ended || c.dead[held.Owner] {
 		go done()
 		return
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -86,6 +86,7 @@
 	handled    = desc("requests_in_hand", "Requests that are held, run or end.")
 	keys       = desc("keys", "Keys that are remembered.")
 	unrecorded = desc("bookings_unrecorded_total", "Bookings refused because their start could not be recorded.")
+	abroad     = desc("tries_abroad_total", "Tries of keys that another process of the node held: waited for its run, or heard what came of it.", "how")
 	restored   = desc("bookings_restored", "Bookings known from an earlier process.")
 	conns      = desc("connections", "Open connections.", "front")
 	clients    = desc("uwsgi_requests_total", "What came to the uwsgi front.", "what")
@@ -121,6 +122,8 @@
 		}
 		send(started, total, float64(n.Ran))
 		send(unrecorded, total, float64(n.Unrecorded))
+		send(abroad, total, float64(n.Abroad), "waited")
+		send(abroad, total, float64(n.Shared), "heard")
 		send(restored, now, float64(n.Restored))
 		send(handled, now, float64(hand))
 		send(keys, now, float64(known))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -38,7 +38,9 @@
 	}
 	at := time.UnixMilli(1764576000000)
 	all := get(Sources{
-		Core:  func() (node.Counts, int, int) { return node.Counts{Read: 7, Refused: 3, Unrecorded: 1}, 2, 5 },
+		Core: func() (node.Counts, int, int) {
+			return node.Counts{Read: 7, Refused: 3, Unrecorded: 1, Abroad: 6, Shared: 8}, 2, 5
+		},
 		Resp:  func() int { return 4 },
 		Uwsgi: func() (uwsgi.Counts, int) { return uwsgi.Counts{Malformed: 6}, 8 },
 		Servers: func() []choice.Server {
@@ -51,7 +53,7 @@
 		Config: func() (int, int) { return 2, 1 },
 	}, uwsgi.RunTimes{Started: at, Tries: []uwsgi.TryTimes{{Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second)}}, Done: at.Add(4 * time.Second), Outcome: "ok"},
 		uwsgi.RunTimes{Started: at, Done: at.Add(time.Second), Outcome: "moot"})
-	for _, line := range []string{`sloehitch_requests_total{outcome="refused"} 3`, `sloehitch_bookings_unrecorded_total 1`, `sloehitch_requests_in_hand 2`,
+	for _, line := range []string{`sloehitch_requests_total{outcome="refused"} 3`, `sloehitch_bookings_unrecorded_total 1`, `sloehitch_tries_abroad_total{how="waited"} 6`, `sloehitch_tries_abroad_total{how="heard"} 8`, `sloehitch_requests_in_hand 2`,
 		`sloehitch_keys 5`, `sloehitch_connections{front="resp"} 4`, `sloehitch_connections{front="uwsgi"} 8`, `sloehitch_uwsgi_requests_total{what="malformed"} 6`,
 		`sloehitch_uwsgi_server_state{server="127.0.0.1:1",state="out"} 1`, `sloehitch_uwsgi_server_room{server="127.0.0.1:1"} 9`, `sloehitch_ledger_keys 11`,
 		`sloehitch_ledger_broken 1`, `sloehitch_uwsgi_run_seconds_sum{outcome="ok",stage="first_byte"} 3`,
