--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -459,7 +459,7 @@
 	p.open++
 	p.ids++
 	r := &request{play: p, born: p.clock.Now(), left: p.Retries, avoid: -1, caller: p.callers[p.ids%len(p.callers)]}
-	class := p.drawClass(sizes)
+	class := draw(sizes, len(p.Classes), func(i int) float64 { return p.Classes[i].Share })
 	r.class = &p.Classes[class]
 	work := r.class.Work.Draw(sizes)
 	hint := work
@@ -496,31 +496,22 @@
 	if len(p.Tenants) == 0 {
 		return -1
 	}
-	sum := 0.0
-	for _, t := range p.Tenants {
-		sum += t.Share
-	}
-	x := r.Float64() * sum
-	for i, t := range p.Tenants {
-		if x -= t.Share; x < 0 {
-			return i
-		}
-	}
-	return len(p.Tenants) - 1
+	return draw(r, len(p.Tenants), func(i int) float64 { return p.Tenants[i].Share })
 }
 
-func (p *play) drawClass(r *rand.Rand) int {
+// draw is one of n, by their shares.
+func draw(r *rand.Rand, n int, share func(i int) float64) int {
 	sum := 0.0
-	for _, c := range p.Classes {
-		sum += c.Share
+	for i := range n {
+		sum += share(i)
 	}
 	x := r.Float64() * sum
-	for i, c := range p.Classes {
-		if x -= c.Share; x < 0 {
+	for i := range n {
+		if x -= share(i); x < 0 {
 			return i
 		}
 	}
-	return len(p.Classes) - 1
+	return n - 1
 }
 
 // send makes the next try.
