--- a/cmd/sloehitch/handover.go
+++ b/cmd/sloehitch/handover.go
@@ -56,7 +56,7 @@
 		return
 	}
 	l, ok := d.gate.Learned()
-	if !ok {
+	if !ok || !handover.Worth(l) {
 		return
 	}
 	s := handover.Snapshot{Node: d.name, Process: os.Getpid(), Made: clock.System{}.Now(), Leaving: leaving,
--- a/internal/handover/snapshot.go
+++ b/internal/handover/snapshot.go
@@ -38,6 +38,17 @@
 	Learned  logic.Learned `json:"learned"`
 }
 
+// Worth says whether anything was learned yet: a process that has just begun must not put nothing in the place of what the
+// one before it left.
+func Worth(l logic.Learned) bool {
+	for _, e := range l.Classes {
+		if e.Run.N > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Settings tells settings apart as far as what is learned under them depends on them, in 64 hex digits.
 func Settings(s logic.Settings) string {
 	text := fmt.Sprintf("%v %v %v %v %v %v %v", s.Classes, s.Tenants, s.Cores, s.MemoryKB, s.RunFactor, s.CrowdFactor, s.WorthByWork)
--- a/internal/handover/snapshot_test.go
+++ b/internal/handover/snapshot_test.go
@@ -59,6 +59,9 @@
 }
 
 func TestJudge(t *testing.T) {
+	if !Worth(snapshot().Learned) || Worth(logic.Learned{Limit: 9, Classes: map[string]logic.Estimate{"book": {}}}) {
+		t.Error("what was learned from runs is worth leaving, and nothing else is")
+	}
 	other := settings()
 	other.Classes = append(other.Classes, logic.Class{Name: "search"})
 	for _, c := range []struct {
