Count the grace and the kill from the notice to leave, not from when it was looked into

Seen on reading the change again: leave() first asks which other processes live (up to 200 ms where the claims' lock is held) and writes what was learned, and only then started the core's grace and the time to the kill. A request that came up to 2.2 s after SIGTERM could have run, and the last answers could have come after SIGKILL, which is spared 150 ms. At fault: the order in leave(), cmd/sloehitch/serve.go.

Change: the notice's own time is taken first; node.Leave counts from it. Test: a notice that the core hears of 1.9 s late leaves 0.1 s of the grace.

--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -403,7 +403,7 @@
 			t.Errorf("%s ran %d times", body, n)
 		}
 	}
-	s.node.Leave(time.Minute, false) // what comes later than the grace is refused, and told when to come back
+	s.node.Leave(time.Now(), time.Minute, false) // what comes later than the grace is refused, and told when to come back
 	time.Sleep(1100 * time.Millisecond)
 	if got := ask(t, s.uwsgi, "fine", post("4")...); !strings.HasPrefix(got, "HTTP/1.1 503 ") || !strings.Contains(got, "\r\nRetry-After: 1\r\n") {
 		t.Errorf("leaving: %q", got)
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -429,6 +429,7 @@
 // the grace is still taken; then they are sent elsewhere, what is in hand goes on, and the end comes when nothing is
 // owed and the callers have closed, or just before the kill.
 func (d *daemon) leave() {
+	notice := clock.System{}.Now() // what is looked up before the core hears of it takes time
 	stop, sight := d.platform.Stop(), handover.Sight{Grace: time.Duration(d.platform.Logic.DrainGrace) * time.Microsecond, Spare: d.limits.GraceSpare}
 	if os.Getenv("GW_ACCEPT_FD") != "" {
 		stop, sight.Inherited = d.platform.StopReplaced(), true // the platform holds the listener: a new process replaces this one
@@ -440,12 +441,12 @@
 	plan := handover.Depart(sight)
 	d.leaveLearned(true)
 	d.log.Info("leaving", "stop", stop, "others", sight.Others, "quiet", plan.Quiet)
-	kill := time.After(stop - d.limits.KillSpare/2)
-	d.node.Leave(stop, plan.Quiet)
+	kill := time.After(time.Until(notice.Add(stop - d.limits.KillSpare/2)))
+	d.node.Leave(notice, stop, plan.Quiet)
 	d.quiet.Store(plan.Quiet)
 	d.leaving.Store(true)
 	d.pulse.Close(!plan.Quiet || d.closed.Load())
-	grace := time.After(plan.Shut)
+	grace := time.After(time.Until(notice.Add(plan.Shut)))
 	look := time.NewTicker(d.limits.RetryLeast)
 	defer look.Stop()
 	shut := false
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -349,7 +349,7 @@
 	}
 }
 
-func (r *real) Leave(left time.Duration)    { r.node.Leave(left, false) }
+func (r *real) Leave(left time.Duration)    { r.node.Leave(r.site.Clock.Now(), left, false) }
 func (r *real) Counts() (running, held int) { return r.node.Hand() }
 
 // runner does the work of one try on the machine.
--- a/internal/node/abroad_test.go
+++ b/internal/node/abroad_test.go
@@ -127,7 +127,7 @@
 		{"all that waits is answered before the kill", func(b *bench, s *shared) {
 			s.held["k"] = running
 			b.submit("a", book, "k", 0)
-			b.Leave(time.Hour, true)
+			b.Leave(b.clock.now, time.Hour, true)
 			b.answerAll()
 		}, "", "[failed ] [] []"},
 	} {
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -132,7 +132,7 @@
 		{"the process is to end", func(b *bench, j *journal) {
 			b.submit("a", book, "k", 0)
 			b.decide("a", gate.Run)
-			b.Leave(time.Minute, false)
+			b.Leave(b.clock.now, time.Minute, false)
 			b.answerAll()
 			j.done["a"](nil)
 		}, "began a, withdraw a", "[refused ] [] []"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -479,19 +479,21 @@
 	n.forsaken(r)
 }
 
-// Leave is the notice that the process is to be stopped after the given time. The module does not hear of it where it
-// is quiet: another process of this node goes on, so callers are not to be kept away.
-func (n *Node) Leave(left time.Duration, quiet bool) {
+// Leave is the notice that the process is to be stopped so long after it came. The grace and the kill count from the
+// notice, however late the core hears of it. The module does not hear of it where it is quiet: another process of this
+// node goes on, so callers are not to be kept away.
+func (n *Node) Leave(notice time.Time, stop time.Duration, quiet bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.leaving.IsZero() {
-		n.leaving = n.opts.Clock.Now()
-		n.kill = n.leaving.Add(left)
-		if !quiet {
-			n.opts.Gate.Report(gate.Leaving(left))
-		}
-		n.opts.Clock.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
+	if !n.leaving.IsZero() {
+		return
+	}
+	n.leaving, n.kill = notice, notice.Add(stop)
+	left := max(0, n.kill.Sub(n.opts.Clock.Now()))
+	if !quiet {
+		n.opts.Gate.Report(gate.Leaving(left))
 	}
+	n.opts.Clock.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
 }
 
 // Owed is the number of requests that are owed an answer.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -170,20 +170,28 @@
 			b.decide("b", gate.Run)
 		}, "start a", "[served r] [served r] []"},
 		{"too late after the notice to leave", func(b *bench) {
-			b.Leave(time.Minute, false)
+			b.Leave(b.clock.now, time.Minute, false)
 			b.clock.now = b.clock.now.Add(3 * time.Second)
 			b.submit("a", 0, "", -1500*time.Millisecond)
 			b.submit("b", 0, "", 0)
 			b.decide("a", gate.Run)
 			b.decide("b", gate.Run)
 		}, "start a", "[] [refused ] []"},
+		{"the grace counts from the notice, however late it is heard of", func(b *bench) {
+			b.Leave(b.clock.now.Add(-1900*time.Millisecond), time.Minute, false)
+			b.clock.now = b.clock.now.Add(200 * time.Millisecond)
+			b.submit("a", 0, "", -150*time.Millisecond)
+			b.submit("b", 0, "", 0)
+			b.decide("a", gate.Run)
+			b.decide("b", gate.Run)
+		}, "start a", "[] [refused ] []"},
 		{"all is answered before the kill", func(b *bench) {
 			b.submit("a", 0, "", 0)
 			b.submit("b", book, "k", 0)
 			b.submit("c", book, "l", 0)
 			b.decide("b", gate.Run)
 			b.Gone("c")
-			b.Leave(time.Minute, false)
+			b.Leave(b.clock.now, time.Minute, false)
 			b.answerAll()
 		}, "start b", "[refused ] [failed ] []"},
 		{"a call whose request is over is given up", func(b *bench) {
--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -664,7 +664,7 @@
 			t.Fatalf("%d: %q, %v", i, got, err)
 		}
 	}
-	r.node.Leave(r.limits.KillSpare, false)
+	r.node.Leave(time.Now(), r.limits.KillSpare, false)
 	for i, c := range conns {
 		if rest, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
 			t.Errorf("%d ended with %q, %v", i, rest, err)
