Restore bookings one after another again; ask once whether the listener is inherited

Seen on reading the change again: with the ledger taken over from another process, all bookings on record were gathered in memory with their results before the core saw the first one; before, they were handed over as they were read, and results kept as far as there is room. A long record could have ended a start by memory.

Change: the store that is to be read is kept instead of what is in it; restore reads it once the core is there, and closes it where it was only to be read. The environment was asked in five places whether the platform holds the listener; inherited() is one.

--- a/cmd/sloehitch/handover.go
+++ b/cmd/sloehitch/handover.go
@@ -19,6 +19,9 @@
 	"sloehitch/logic"
 )
 
+// inherited says whether the platform holds the clients' listener: then one process may replace another.
+func inherited() bool { return os.Getenv("GW_ACCEPT_FD") != "" }
+
 // claimsDir is the folder of claims of a node in dir, which its processes share.
 func claimsDir(dir, name string) string { return filepath.Join(dir, "sloehitch-"+name+"-claims") }
 
@@ -29,7 +32,7 @@
 
 // learned is what an earlier process of this node left, or nil; one line of the log says why it was or wasn't taken.
 func (d *daemon) learned(now time.Time) *logic.Learned {
-	if os.Getenv("GW_ACCEPT_FD") == "" {
+	if !inherited() {
 		return nil // no process replaces another here: what lies there is of another day
 	}
 	path := keep.Path(os.TempDir(), d.name)
@@ -52,7 +55,7 @@
 
 // leaveLearned writes what this process has learned for the next one, where there may be one.
 func (d *daemon) leaveLearned(leaving bool) {
-	if os.Getenv("GW_ACCEPT_FD") == "" {
+	if !inherited() {
 		return
 	}
 	l, ok := d.gate.Learned()
--- a/cmd/sloehitch/listen.go
+++ b/cmd/sloehitch/listen.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -48,7 +47,7 @@
 // listener) that one may still have the address: it is taken as soon as it is free, and the clients don't wait for it.
 func (d *daemon) serveOn(what string, listen func() (net.Listener, error), serve func(net.Listener) error) error {
 	ln, err := listen()
-	if errors.Is(err, syscall.EADDRINUSE) && os.Getenv("GW_ACCEPT_FD") != "" {
+	if errors.Is(err, syscall.EADDRINUSE) && inherited() {
 		d.log.Info("an address is taken: waiting for the process before to leave it", "for", what, "error", err)
 		go d.serveLater(what, listen, serve)
 		return nil
--- a/cmd/sloehitch/records.go
+++ b/cmd/sloehitch/records.go
@@ -19,7 +19,7 @@
 // openRecords opens what the configuration names to keep keyed requests in, and returns it as the core's journal: the
 // ledger, claims shared with the process that comes next (where the platform holds the clients' listener), both, or nil.
 func (d *daemon) openRecords(system clock.System) (node.Journal, error) {
-	if os.Getenv("GW_ACCEPT_FD") != "" {
+	if inherited() {
 		if err := d.openClaims(system); err != nil {
 			return nil, err
 		}
@@ -54,8 +54,8 @@
 	return nil
 }
 
-// openLedger opens the record of bookings and reads what is on it. While the process that this one replaces still has
-// it, it is only read, and taken over as soon as that process lets go.
+// openLedger opens the record of bookings, for restore to read. While the process that this one replaces still has it,
+// it is only read, and taken over as soon as that process lets go.
 func (d *daemon) openLedger() error {
 	c := d.deploy.Load().Ledger
 	every, err := c.Interval()
@@ -67,13 +67,10 @@
 		return err
 	}
 	o := ledger.Options{Limits: limits.ForLedger(c.IndexBytes()), Flush: every, Log: d.log}
-	s, err := ledger.Open(dir, o)
+	d.earlier, err = ledger.Open(dir, o)
 	switch {
 	case err == nil:
-		if err := d.readRecord(s); err != nil {
-			return errors.Join(err, s.Close())
-		}
-		d.attach(s)
+		d.attach(d.earlier)
 		return nil
 	case d.tandem == nil || !errors.Is(err, disk.ErrLocked):
 		return fmt.Errorf("ledger: %w", err)
@@ -81,25 +78,13 @@
 	d.log.Info("the process before still writes the ledger: starts are made durable when it lets go", "folder", c.Dir)
 	read := o
 	read.ReadOnly = true
-	if s, err = ledger.Open(dir, read); err == nil {
-		err = errors.Join(d.readRecord(s), s.Close())
-	}
-	if err != nil {
+	if d.earlier, err = ledger.Open(dir, read); err != nil {
 		return fmt.Errorf("ledger: %w", err)
 	}
 	go d.awaitLedger(dir, o)
 	return nil
 }
 
-// readRecord notes what is on record as this process starts.
-func (d *daemon) readRecord(s *ledger.Store) error {
-	record := bookings.New(s, node.Spare(d.limits), d.limits.LogEvery, d.log)
-	if err := record.All(func(b node.Booking) { d.before = append(d.before, b) }); err != nil {
-		return fmt.Errorf("ledger: %w", err)
-	}
-	return nil
-}
-
 // awaitLedger opens the ledger once the process that has it lets go.
 func (d *daemon) awaitLedger(dir disk.FS, o ledger.Options) {
 	for ; ; time.Sleep(d.limits.RetryLeast) {
@@ -130,15 +115,25 @@
 		"torn_bytes", r.Torn, "took", r.Took, "missed", late)
 }
 
-// restore tells the core what ran before a restart.
+// restore tells the core what ran before a restart, one booking after another: their results together may be more than
+// there is memory for.
 func (d *daemon) restore() error {
-	for _, b := range d.before {
+	if d.earlier == nil {
+		return nil
+	}
+	err := bookings.New(d.earlier, node.Spare(d.limits), d.limits.LogEvery, d.log).All(func(b node.Booking) {
 		if d.tandem == nil || d.tandem.Restore(b) {
 			d.node.Restore(b)
 		}
+	})
+	if err != nil {
+		err = fmt.Errorf("ledger: %w", errors.Join(err, d.closeRecords()))
 	}
-	d.before = nil
-	return nil
+	if d.earlier != d.ledger.Load() {
+		err = errors.Join(err, d.earlier.Close()) // it was only to be read
+	}
+	d.earlier = nil
+	return err
 }
 
 // sweepRecords writes once more what could not be written, and drops what has expired.
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -92,7 +92,7 @@
 	bookings  *bookings.Record                // nil with it; of the goroutine that runs, once that does
 	claims    *claims.Claims                  // nil but where clients come from an inherited listener
 	tandem    *tandem.Journal                 // nil but where there are both
-	before    []node.Booking                  // on record when this process started, for restore
+	earlier   *ledger.Store                   // what is on record as this process starts, until restore has read it
 	servers   *uwsgi.Pool                     // nil where uwsgi is off
 	keys      []*tlskeys.Keys                 // of the uwsgi side
 	closed    atomic.Bool                     // out of service by the operators' word
@@ -431,7 +431,7 @@
 func (d *daemon) leave() {
 	notice := clock.System{}.Now() // what is looked up before the core hears of it takes time
 	stop, sight := d.platform.Stop(), handover.Sight{Grace: time.Duration(d.platform.Logic.DrainGrace) * time.Microsecond, Spare: d.limits.GraceSpare}
-	if os.Getenv("GW_ACCEPT_FD") != "" {
+	if inherited() {
 		stop, sight.Inherited = d.platform.StopReplaced(), true // the platform holds the listener: a new process replaces this one
 	}
 	if d.claims != nil {
