Test the module's part of a node and the seats that are resized, which share rests on

Seen on reading the change again: handover.Share had its tests, but what carries it out (the module's Share, the seats' Resize) was shown by none: without it the tests passed.

--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -55,3 +55,26 @@
 		}
 	}
 }
+
+// TestResize: a table made smaller cuts nobody and seats no more until there is room; one made larger seats at once.
+func TestResize(t *testing.T) {
+	table := New(3, 10*time.Millisecond, time.Hour)
+	var seats []*Seat
+	for range 3 {
+		s := table.Take(func() { t.Error("somebody was cut") })
+		s.Set(Busy)
+		seats = append(seats, s)
+	}
+	table.Resize(2)
+	if table.Len() != 3 || table.Take(func() {}) != nil {
+		t.Errorf("%d seated in a table of 2 that had 3", table.Len())
+	}
+	seats[0].Leave()
+	if table.Take(func() {}) != nil {
+		t.Error("a third seat of two")
+	}
+	table.Resize(3)
+	if table.Take(func() {}) == nil {
+		t.Error("no seat in a table with room")
+	}
+}
--- a/logic/learned_test.go
+++ b/logic/learned_test.go
@@ -36,6 +36,40 @@
 	}
 }
 
+// TestShare: a server that has a part of the cores and the memory runs and holds no more than that part, and all of it
+// once it has all again.
+func TestShare(t *testing.T) {
+	started := func(s *Server, now Micros, ids ...RequestID) (n int) {
+		var events []Event
+		for _, id := range ids {
+			events = append(events, Event{Kind: EvArrival, ID: id, Arrival: Arrival{Tenant: -1, KB: 10}})
+		}
+		for _, a := range s.Step(now, events) {
+			if a.Kind == ActRun {
+				n++
+			}
+		}
+		return n
+	}
+	cfg := Settings{Cores: 8, MemoryKB: 1e6, RunFactor: 1, CrowdFactor: 9, Classes: []Class{{Name: "read", Aim: 1e9, Deadline: 2e9, Worth: 1}}}
+	s := newServer(t, cfg)
+	s.Share(0.25)
+	if n := started(s, 0, 1, 2, 3, 4, 5, 6, 7, 8); n != 2 {
+		t.Errorf("%d of 8 cores used with a quarter of them", n)
+	}
+	s.Share(1)
+	if n := started(s, 1); n != 6 {
+		t.Errorf("%d more started with all of them", n)
+	}
+	cfg.MemoryKB = 100 // room for 9 requests of 10 KB
+	s = newServer(t, cfg)
+	s.Share(0.5)
+	started(s, 0, 1, 2, 3, 4, 5, 6, 7, 8)
+	if held := len(s.byID); held != 4 {
+		t.Errorf("%d requests in half of the memory, 4 fit", held)
+	}
+}
+
 func newServer(t *testing.T, cfg Settings) *Server {
 	t.Helper()
 	s, err := New(cfg, 1)
