--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -59,8 +59,8 @@
 	for _, c := range off {
 		c.Stop()
 	}
-	if v.Pending() != 10000 || len(v.calls) > 15000 {
-		t.Errorf("%d pending, %d kept", v.Pending(), len(v.calls))
+	if v.Pending() != 10000 || v.calls.Len() > 15000 {
+		t.Errorf("%d pending, %d kept", v.Pending(), v.calls.Len())
 	}
 	for v.Step() {
 	}
--- a/internal/clock/virtual.go
+++ b/internal/clock/virtual.go
@@ -1,8 +1,9 @@
 package clock
 
 import (
-	"container/heap"
 	"time"
+
+	"sloehitch/internal/heap"
 )
 
 // Virtual is a clock that stands until it is moved, by Step or Run. Calls at the same instant come in the order in which
@@ -10,10 +11,9 @@
 // that moves it, from which all calls come and which alone may ask for more.
 type Virtual struct {
 	begun time.Time
-	now   int64  // nanoseconds since then
-	asked uint64 // calls asked for so far
-	calls queue
-	dead  int // of calls: taken back
+	now   int64                   // nanoseconds since then
+	calls heap.Heap[int64, *call] // by nanoseconds since the clock's beginning
+	dead  int                     // of calls: taken back
 }
 
 // NewVirtual returns a clock that stands at the given time.
@@ -22,10 +22,8 @@
 // call is one call that is to come.
 type call struct {
 	clock *Virtual
-	at    int64 // nanoseconds since the clock's beginning
-	order uint64
 	f     func()
-	index int // in the queue; -1: not there
+	index int // in the queue, or heap.Out
 	off   bool
 }
 
@@ -34,21 +32,19 @@
 
 // AfterFunc has f called when the clock has been moved d further: not before the caller returns, even for a d of 0.
 func (v *Virtual) AfterFunc(d time.Duration, f func()) Timer {
-	c := &call{clock: v, f: f, index: -1}
+	c := &call{clock: v, f: f, index: heap.Out}
 	c.ask(d)
 	return c
 }
 
 func (c *call) ask(d time.Duration) {
-	v := c.clock
-	v.asked++
-	c.at, c.order, c.off = v.now+int64(max(0, d)), v.asked, false
-	heap.Push(&v.calls, c)
+	c.off = false
+	c.clock.calls.Push(c.clock.now+int64(max(0, d)), c)
 }
 
 // Stop takes the call back. It costs nothing but a mark: ten thousand at once are swept out together.
 func (c *call) Stop() bool {
-	if c.index < 0 || c.off {
+	if c.index == heap.Out || c.off {
 		return false
 	}
 	c.off = true
@@ -60,8 +56,8 @@
 // Reset has the call come at another time; among those of that instant it is the last.
 func (c *call) Reset(d time.Duration) bool {
 	active := c.Stop()
-	if c.index >= 0 { // marked, and still in the queue
-		heap.Remove(&c.clock.calls, c.index)
+	if c.index != heap.Out { // marked, and still in the queue
+		c.clock.calls.Remove(c.index)
 		c.clock.dead--
 	}
 	c.ask(d)
@@ -70,32 +66,22 @@
 
 // sweep drops calls that were taken back once they are more than those that stand.
 func (v *Virtual) sweep() {
-	if v.dead < 64 || v.dead*2 < len(v.calls) {
+	if v.dead < 64 || v.dead*2 < v.calls.Len() {
 		return
 	}
-	kept := v.calls[:0]
-	for _, c := range v.calls {
-		if c.off {
-			c.index = -1
-			continue
-		}
-		c.index = len(kept)
-		kept = append(kept, c)
-	}
-	clear(v.calls[len(kept):])
-	v.calls, v.dead = kept, 0
-	heap.Init(&v.calls)
+	v.calls.Keep(func(c *call) bool { return !c.off })
+	v.dead = 0
 }
 
 // Step moves the clock to the next call and makes it. It returns false where none is to come.
 func (v *Virtual) Step() bool {
-	for len(v.calls) > 0 {
-		c := heap.Pop(&v.calls).(*call)
+	for v.calls.Len() > 0 {
+		at, c := v.calls.Pop()
 		if c.off {
 			v.dead--
 			continue
 		}
-		v.now = c.at
+		v.now = at
 		c.f()
 		return true
 	}
@@ -104,14 +90,15 @@
 
 // Next is when the next call is to come; false: none is.
 func (v *Virtual) Next() (time.Time, bool) {
-	for len(v.calls) > 0 && v.calls[0].off {
-		heap.Pop(&v.calls)
+	for v.calls.Len() > 0 {
+		at, c := v.calls.First()
+		if !c.off {
+			return v.begun.Add(time.Duration(at)), true
+		}
+		v.calls.Pop()
 		v.dead--
 	}
-	if len(v.calls) == 0 {
-		return time.Time{}, false
-	}
-	return v.begun.Add(time.Duration(v.calls[0].at)), true
+	return time.Time{}, false
 }
 
 // Run moves the clock to the given time and makes all calls until then, those of that instant included.
@@ -127,32 +114,7 @@
 }
 
 // Pending is the number of calls that are to come.
-func (v *Virtual) Pending() int { return len(v.calls) - v.dead }
+func (v *Virtual) Pending() int { return v.calls.Len() - v.dead }
 
-// queue is a heap of calls by time, then by the order in which they were asked for.
-type queue []*call
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	if q[i].at == q[j].at {
-		return q[i].order < q[j].order
-	}
-	return q[i].at < q[j].at
-}
-func (q queue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-func (q *queue) Push(x any) {
-	c := x.(*call)
-	c.index = len(*q)
-	*q = append(*q, c)
-}
-func (q *queue) Pop() any {
-	old := *q
-	c := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	c.index = -1
-	return c
-}
+// Placed is told where in the queue the call is.
+func (c *call) Placed(at int) { c.index = at }
--- a/internal/emulator/machine.go
+++ b/internal/emulator/machine.go
@@ -1,11 +1,11 @@
 package emulator
 
 import (
-	"container/heap"
 	"math"
 	"time"
 
 	"sloehitch/internal/clock"
+	"sloehitch/internal/heap"
 )
 
 // Machine is the cores of one server, which share their time evenly among the work on them: processor sharing
@@ -19,8 +19,7 @@
 
 	served float64 // what each piece of work that has always been here has had, in work
 	last   time.Time
-	works  works
-	added  uint64
+	works  heap.Heap[float64, *Work] // by the served at which they are done
 	timer  clock.Timer
 
 	busy  float64 // core-seconds used
@@ -31,8 +30,7 @@
 // Work is one piece on a machine.
 type Work struct {
 	finish float64 // at which served it is done
-	order  uint64
-	index  int // -1: not there
+	index  int     // on its machine, or heap.Out
 	done   func()
 }
 
@@ -43,7 +41,7 @@
 
 // rate is the work that each piece is done a second.
 func (m *Machine) rate() float64 {
-	n := float64(len(m.works))
+	n := float64(m.works.Len())
 	if n == 0 {
 		return 0
 	}
@@ -59,7 +57,7 @@
 	now := m.clock.Now()
 	span := now.Sub(m.last).Seconds()
 	m.last = now
-	n := float64(len(m.works))
+	n := float64(m.works.Len())
 	m.served += m.rate() * span
 	m.busy += min(n, m.cores) * span
 	m.area += n * span
@@ -68,20 +66,19 @@
 // Add puts work on the cores; done is called when it has been done.
 func (m *Machine) Add(work float64, done func()) *Work {
 	m.advance()
-	m.added++
-	w := &Work{finish: m.served + work, order: m.added, done: done}
-	heap.Push(&m.works, w)
+	w := &Work{finish: m.served + work, done: done}
+	m.works.Push(w.finish, w)
 	m.arm()
 	return w
 }
 
 // Remove takes work off the cores and returns what is left of it; done is not called.
 func (m *Machine) Remove(w *Work) float64 {
-	if w.index < 0 {
+	if w.index == heap.Out {
 		return 0
 	}
 	m.advance()
-	heap.Remove(&m.works, w.index)
+	m.works.Remove(w.index)
 	m.arm()
 	return max(0, w.finish-m.served)
 }
@@ -94,7 +91,7 @@
 }
 
 // Running is how many pieces are on the cores.
-func (m *Machine) Running() int { return len(m.works) }
+func (m *Machine) Running() int { return m.works.Len() }
 
 // Utilization is the share of the cores used since the beginning.
 func (m *Machine) Utilization() float64 {
@@ -113,7 +110,8 @@
 	if rate == 0 {
 		return
 	}
-	left := max(0, m.works[0].finish-m.served) / rate
+	finish, _ := m.works.First()
+	left := max(0, finish-m.served) / rate
 	m.timer = m.clock.AfterFunc(time.Duration(math.Ceil(left*1e9)), m.due)
 }
 
@@ -121,8 +119,13 @@
 func (m *Machine) due() {
 	m.advance()
 	var over []*Work
-	for len(m.works) > 0 && m.works[0].finish <= m.served+tiny {
-		over = append(over, heap.Pop(&m.works).(*Work))
+	for m.works.Len() > 0 {
+		finish, w := m.works.First()
+		if finish > m.served+tiny {
+			break
+		}
+		m.works.Pop()
+		over = append(over, w)
 	}
 	m.arm()
 	for _, w := range over {
@@ -130,30 +133,5 @@
 	}
 }
 
-// works is a heap by what is left to do, then by arrival.
-type works []*Work
-
-func (q works) Len() int { return len(q) }
-func (q works) Less(i, j int) bool {
-	if q[i].finish == q[j].finish {
-		return q[i].order < q[j].order
-	}
-	return q[i].finish < q[j].finish
-}
-func (q works) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
-}
-func (q *works) Push(x any) {
-	w := x.(*Work)
-	w.index = len(*q)
-	*q = append(*q, w)
-}
-func (q *works) Pop() any {
-	old := *q
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	w.index = -1
-	return w
-}
+// Placed is told where in its machine's heap the work is.
+func (w *Work) Placed(at int) { w.index = at }
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -8,6 +8,7 @@
 
 	"sloehitch/internal/clock"
 	"sloehitch/internal/gate"
+	"sloehitch/internal/heap"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
 	"sloehitch/logic"
@@ -440,7 +441,7 @@
 	if w == nil {
 		return
 	}
-	if w.work.index < 0 {
+	if w.work.index == heap.Out {
 		return // it stands at a call
 	}
 	r.site.Machine.Remove(w.work)
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -100,7 +100,7 @@
 	Request string
 	Try     string // empty: it is of the request as a whole
 	Node    string // empty: it is with its caller
-	What    string // come, sent, offered, run, done, served, refused, failed, gone, waits, or how it ended: in aim, late, refused, failed, expired
+	What    string // come, sent, offered, run, served, refused, failed, gone, waits or ended (More says how)
 	More    string
 }
 
