--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -24,6 +24,7 @@
 	Work    float64       // to do, in seconds of a core of speed 1
 	Hint    time.Duration // what the caller says of it; rough
 	Sent    time.Time     // by its caller
+	Came    time.Time     // to its node's machine, where it may stand unread
 	Due     time.Time     // when its caller gives up
 	Retry   bool
 	Source  int
@@ -334,7 +335,7 @@
 	id := strconv.Itoa(r.next)
 	r.ids[t] = id
 	r.node.Submit(node.Request{ID: id, Class: t.Class, Tenant: t.Tenant, KB: t.KB, Hint: t.Hint, Retry: t.Retry, Source: t.Source,
-		Arrived: r.site.Clock.Now(), Wait: t.Due.Sub(r.site.Clock.Now()), Key: t.Key, Runner: runner{r, t}, Front: "emulator"},
+		Arrived: t.Came, Wait: t.Due.Sub(t.Came), Key: t.Key, Runner: runner{r, t}, Front: "emulator"},
 		func(a node.Answer) {
 			delete(r.ids, t)
 			r.over(id)
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -61,10 +61,14 @@
 func (k *rules) Offer(t *Try, answer func(node.Answer)) {
 	now := k.clock.Now()
 	k.note("offered", t)
-	w := &watched{came: now}
+	w := &watched{came: t.Came}
 	k.open[t] = w
 	grace := time.Duration(k.settings.AnswerGrace) * time.Microsecond
-	w.guard = k.clock.AfterFunc(t.Due.Sub(now)+grace+1, func() { // after all that happens at that instant's end
+	due := t.Due
+	if due.Before(now) {
+		due = now // read too late: it is to be answered at once
+	}
+	w.guard = k.clock.AfterFunc(due.Sub(now)+grace+1, func() { // after all that happens at that instant's end
 		if k.open[t] == w {
 			k.breaks("lost", fmt.Sprintf("%s was due %v ago", t.ID, k.clock.Now().Sub(t.Due)))
 		}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -62,6 +62,8 @@
 	Crowd    float64 // requests on the cores for each core that a node survives, as it is told
 	MemoryKB float64
 	Hop      time.Duration // to a node or back
+	Read     float64       // work of reading a request, as a share of the mean work; 0: reading costs nothing
+	Grace    time.Duration // after the notice to leave, within which what comes may run; 0: 2 s
 
 	Classes []Class
 	Rate    float64 // first tries a second; 0: from Load
@@ -77,6 +79,10 @@
 	Retries   int
 	Backoff   time.Duration // before a further try, where nothing is advised
 	Heed      bool          // advice on when to come back
+	Away      float64       // share of the balancers that send a node nothing for as long as it advises
+	Walk      bool          // after a refusal a balancer goes on through its list at once, to its end
+	Unhinted  bool          // callers say nothing of the work
+	TellsWait bool          // nodes know that callers say how long they wait
 	Budget    float64       // further tries for each first one that a balancer makes, a few saved up; 0: no bound
 	Notice    time.Duration // after which balancers learn that a node leaves, is gone or has come back
 
@@ -161,6 +167,9 @@
 	for _, t := range w.Tenants {
 		want(t.Name != "" && t.Share > 0 && t.Quota >= 0, fmt.Sprintf("tenant %q: a name and a share above 0 are wanted", t.Name))
 	}
+	want(w.Read >= 0 && w.Read <= 10, "read must be from 0 to 10 times the mean work")
+	want(w.Away >= 0 && w.Away <= 1, "away must be from 0 to 1")
+	want(w.Grace >= 0, "grace must not be below 0")
 	want(w.Budget >= 0 && w.Notice >= 0, "budget and notice must not be below 0")
 	want(w.ColdFrom >= 0 && w.ColdFrom <= 1, "cold_from must be from 0 to 1")
 	switch w.Habit {
@@ -190,6 +199,10 @@
 func (w *World) Settings() logic.Settings {
 	s := logic.Settings{Cores: w.Cores, MemoryKB: w.MemoryKB, RunFactor: 4, CrowdFactor: max(1, w.Crowd), CrowdSpan: 1500000, Servers: w.Nodes,
 		AnswerGrace: logic.Micros(answerGrace.Microseconds()), DrainGrace: 2000000, Tick: 4000, Stop: logic.StopFreeze, MaxAdvice: 1000000}
+	s.TellsWait = w.TellsWait
+	if w.Grace > 0 {
+		s.DrainGrace = logic.Micros(w.Grace.Microseconds())
+	}
 	for _, t := range w.Tenants {
 		s.Tenants = append(s.Tenants, logic.Tenant{Name: t.Name, Quota: t.Quota})
 	}
@@ -212,12 +225,7 @@
 	if w.Rate > 0 {
 		return w.Rate
 	}
-	work, share := 0.0, 0.0
-	for _, c := range w.Classes {
-		work += c.Share * c.Work.Mean
-		share += c.Share
-	}
-	return w.Load * float64(w.Nodes*w.Cores) * w.Speed / (work / share)
+	return w.Load * float64(w.Nodes*w.Cores) * w.Speed / (w.meanWork() * (1 + w.Read))
 }
 
 // Tally is what became of one class's requests, those of the warm-up left out.
@@ -272,6 +280,7 @@
 	name    string
 	machine *Machine
 	server  *rules
+	intake  *intake
 	gone    bool    // it takes nothing more
 	listed  bool    // as balancers know it
 	life    int     // how often it has begun: what was sent to an earlier life is lost
@@ -285,7 +294,9 @@
 	next   int
 	open   []int
 	random *rand.Rand
-	budget float64 // further tries that it may make now
+	budget float64     // further tries that it may make now
+	obeys  bool        // advice to stay away
+	away   []time.Time // by node: until when
 }
 
 // saved is how many further tries a balancer may save up.
@@ -311,7 +322,8 @@
 		p.nodes = append(p.nodes, h)
 	}
 	for i := range w.Balancers {
-		p.callers = append(p.callers, &balancer{number: i, open: make([]int, w.Nodes), random: p.streams.Stream(fmt.Sprint("balancer ", i))})
+		p.callers = append(p.callers, &balancer{number: i, open: make([]int, w.Nodes), away: make([]time.Time, w.Nodes),
+			obeys: float64(i) < w.Away*float64(w.Balancers), random: p.streams.Stream(fmt.Sprint("balancer ", i))})
 	}
 	for range w.Classes {
 		p.result.Classes = append(p.result.Classes, Tally{Latency: hdrhistogram.New(1, 600_000_000, 3)})
@@ -345,6 +357,7 @@
 	h.life++
 	h.gone = false
 	h.machine = NewMachine(p.clock, p.Cores, p.World.Speed, p.Thrash, p.ThrashAt)
+	h.intake = &intake{host: h, work: p.Read * p.meanWork(), cores: p.Cores}
 	h.server = &rules{clock: p.clock, settings: settings, name: h.name, seed: p.Seed, begun: p.begun, open: map[*Try]*watched{}, keys: map[string]time.Time{},
 		broken: func(b *Broken) { p.result.Broken = append(p.result.Broken, b) }}
 	h.server.watch = func(what string, t *Try) { p.tell(t.Request, t.ID, h.name, what, "") }
@@ -357,6 +370,9 @@
 	h.life++
 	h.server.stop()
 	h.machine.Speed(0) // what ran is lost
+	for _, t := range h.intake.line {
+		p.broke(h, t)
+	}
 	p.list(h, false)
 	if back <= 0 {
 		return
@@ -446,6 +462,7 @@
 	class  *Class
 	caller *balancer
 	left   int // further tries
+	made   int // made so far
 	avoid  int // the node that turned it away last; -1: none
 	ended  bool
 	now    *Try // the try that is open
@@ -469,6 +486,12 @@
 	id := "r" + strconv.Itoa(p.ids)
 	tenant := p.drawTenant(sizes)
 	r.try = Try{ID: id, Request: id, Class: class, Tenant: tenant, KB: 20, Work: work, Hint: time.Duration(hint / p.Speed * 1e9), Due: r.born.Add(r.class.Deadline), Source: r.caller.number}
+	if p.Unhinted {
+		r.try.Hint = 0
+	}
+	if p.Walk {
+		r.left = p.Nodes - 1
+	}
 	if r.class.Keyed {
 		r.try.Key = r.try.ID
 	}
@@ -522,14 +545,19 @@
 	}
 	at := r.choose()
 	if at < 0 {
-		r.end(&r.tally.Failed)
+		if r.caller.obeys && r.Away > 0 { // all are to be left alone: it is refused where it is
+			r.end(&r.tally.Refused)
+		} else {
+			r.end(&r.tally.Failed)
+		}
 		return
 	}
 	r.tally.Tries++
 	t := r.try
-	t.Sent, t.Retry = r.clock.Now(), r.left < r.Retries
+	r.made++
+	t.Sent, t.Retry = r.clock.Now(), r.made > 1
 	if t.Retry {
-		t.ID = fmt.Sprint(t.ID, ".", r.Retries-r.left)
+		t.ID = fmt.Sprint(t.ID, ".", r.made-1)
 	}
 	h := r.nodes[at]
 	r.now, r.at, r.avoid = &t, h, at
@@ -545,15 +573,27 @@
 		}
 		r.life = h.life
 		r.tries[&t] = r
-		h.server.Offer(&t, func(a node.Answer) {
-			if h.lost() {
-				return
+		t.Came = r.clock.Now()
+		life, p := h.life, r.play
+		h.intake.take(&t, func(t *Try) {
+			if r := p.tries[t]; h.life == life && r != nil && r.now == t { // else nobody waits any more: it was read in vain
+				r.offer(at, t)
 			}
-			r.clock.AfterFunc(r.Hop, func() { r.back(at, &t, a) })
 		})
 	})
 }
 
+// offer gives a try that has been read to its node.
+func (r *request) offer(at int, t *Try) {
+	h := r.nodes[at]
+	h.server.Offer(t, func(a node.Answer) {
+		if h.lost() {
+			return
+		}
+		r.clock.AfterFunc(r.Hop, func() { r.back(at, t, a) })
+	})
+}
+
 // lost says whether a message is lost on the node's link.
 func (h *host) lost() bool { return h.lossy > 0 && h.loss.Float64() < h.lossy }
 
@@ -565,6 +605,9 @@
 	}
 	r.now = nil
 	r.caller.open[at]--
+	if a.Kind == node.Refused && a.Holdoff > 0 {
+		r.caller.keepAway(at, r.clock.Now().Add(a.Holdoff))
+	}
 	switch {
 	case a.Kind == node.Served:
 		took := r.clock.Now().Sub(r.born)
@@ -579,7 +622,11 @@
 	case a.Kind == node.Failed && r.class.Keyed: // it may have run: another node would run it again
 		r.end(&r.tally.Failed)
 		return
-	case r.left > 0 && !(a.Last && r.Heed) && r.caller.affords(r.Budget):
+	case r.Walk && a.Kind == node.Refused && r.left > 0 && !(a.Last && r.caller.obeys):
+		r.left--
+		r.send()
+		return
+	case !r.Walk && r.left > 0 && !(a.Last && r.Heed) && r.caller.affords(r.Budget):
 		r.left--
 		wait := r.Backoff
 		if r.Heed && a.Holdoff > 0 {
@@ -660,11 +707,11 @@
 	b := r.caller
 	listed := r.listed[:0]
 	for i, h := range r.nodes {
-		if h.listed && i != r.avoid {
+		if h.listed && i != r.avoid && b.willing(i, r.clock.Now()) {
 			listed = append(listed, i)
 		}
 	}
-	if len(listed) == 0 && r.avoid >= 0 && r.nodes[r.avoid].listed {
+	if len(listed) == 0 && r.avoid >= 0 && r.nodes[r.avoid].listed && b.willing(r.avoid, r.clock.Now()) {
 		listed = append(listed, r.avoid)
 	}
 	if r.listed = listed; len(listed) == 0 {
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -78,6 +78,8 @@
 	Crowd    float64 `toml:"crowd"`
 	MemoryMB float64 `toml:"memory_mb"`
 	Hop      Span    `toml:"hop"`
+	Read     float64 `toml:"read"`
+	Grace    Span    `toml:"grace"`
 	Burst    float64 `toml:"burst"`
 	Every    Span    `toml:"every"`
 	ColdFrom float64 `toml:"cold_from"`
@@ -86,13 +88,17 @@
 
 // Callers are the balancers.
 type Callers struct {
-	Count   int     `toml:"count"`
-	Habit   string  `toml:"habit"`
-	Retries int     `toml:"retries"`
-	Backoff Span    `toml:"backoff"`
-	Heed    bool    `toml:"heed"`
-	Budget  float64 `toml:"budget"`
-	Notice  Span    `toml:"notice"`
+	Count    int     `toml:"count"`
+	Habit    string  `toml:"habit"`
+	Retries  int     `toml:"retries"`
+	Backoff  Span    `toml:"backoff"`
+	Heed     bool    `toml:"heed"`
+	Away     float64 `toml:"away"`
+	Walk     bool    `toml:"walk"`
+	NoHints  bool    `toml:"no_hints"`
+	ToldWait bool    `toml:"told_wait"`
+	Budget   float64 `toml:"budget"`
+	Notice   Span    `toml:"notice"`
 }
 
 // Class is one class of requests.
@@ -265,8 +271,9 @@
 	}
 	w := emulator.World{Seed: seed, Length: f.Length.Duration, WarmUp: f.WarmUp.Duration, Nodes: p.Nodes, Cores: f.World.Cores,
 		Speed: f.World.Speed, Thrash: f.World.Thrash, ThrashAt: f.World.ThrashAt, Crowd: f.World.Crowd, MemoryKB: f.World.MemoryMB * 1024,
-		Hop: f.World.Hop.Duration, Load: p.Load, Burst: f.World.Burst, Every: f.World.Every.Duration, Balancers: f.Callers.Count,
+		Hop: f.World.Hop.Duration, Read: f.World.Read, Grace: f.World.Grace.Duration, Load: p.Load, Burst: f.World.Burst, Every: f.World.Every.Duration, Balancers: f.Callers.Count,
 		Habit: emulator.Habit(f.Callers.Habit), Retries: p.Retries, Backoff: f.Callers.Backoff.Duration, Heed: f.Callers.Heed, Policy: policy,
+		Away: f.Callers.Away, Walk: f.Callers.Walk, Unhinted: f.Callers.NoHints, TellsWait: f.Callers.ToldWait,
 		Budget: f.Callers.Budget, Notice: f.Callers.Notice.Duration, ColdFrom: f.World.ColdFrom, ColdFor: f.World.ColdFor.Duration}
 	for _, c := range f.Classes {
 		kind := c.Dist
--- a/internal/rig/remote.go
+++ b/internal/rig/remote.go
@@ -64,6 +64,9 @@
 	o.conn, o.tag = c, c.last
 	c.tags[o.tag], r.open[o.id], r.tries[t] = o, o, o
 	fields := fmt.Sprintf("req=%s,ts=%d,via=%d,owner=lab,need=%.1f,level=0.5,ms=%.2f", o.id, time.Now().UnixMilli(), t.Source, t.KB, float64(t.Hint)/1e6)
+	if r.site.Settings.TellsWait {
+		fields += fmt.Sprintf(",timeout=%d", max(1, time.Until(t.Due).Milliseconds()))
+	}
 	if t.Retry {
 		fields += ",resent=1"
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sloehitch/internal/emulator"
+	"sloehitch/internal/loopback"
 	"sloehitch/logic"
 )
 
@@ -105,12 +106,11 @@
 		return nil, err
 	}
 	d := &daemon{runtime: rt}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := loopback.Addresses(1)
 	if err != nil {
 		return d, err
 	}
-	d.address = ln.Addr().String()
-	ln.Close()
+	d.address = free[0]
 	config, deploy := filepath.Join(o.Dir, fmt.Sprintf("n%d.json", i)), filepath.Join(o.Dir, "none.toml")
 	text, err := json.Marshal(configuration(fmt.Sprint("n", i), d.address, rt.ln.Addr().String(), s))
 	if err == nil {
@@ -163,7 +163,7 @@
 	return map[string]any{"name": name, "listen": listen, "runtime": runtime, "seed": "1", "stop_ms": 5000,
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
 		"settings": map[string]any{"ceilings": map[string]any{"retry-after": true, "max-retry-after": s.MaxAdvice}, "classes": classes, "servers": s.Servers, "tick": s.Tick,
-			"domain": map[string]any{"cores": s.Cores, "memory-kb": s.MemoryKB, "run-factor": s.RunFactor, "signal": "off", "stop-mode": "freeze",
+			"domain": map[string]any{"cores": s.Cores, "memory-kb": s.MemoryKB, "run-factor": s.RunFactor, "signal": "off", "stop-mode": "freeze", "passes-deadline": s.TellsWait,
 				"meters": []string{"core_use", "on_cores", "heap_share", "links"}},
 			"projects": []map[string]any{{"name": "lab", "quota-per-s": 1e6, "share": 1}},
 			"rules": map[string]any{"fall": s.CrowdSpan, "grace-to-answer": s.AnswerGrace, "overload-factor": s.CrowdFactor, "start-capacity": 1,
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/tidwall/redcon"
+
+	"sloehitch/internal/loopback"
 )
 
 // Patience is how long a test waits for what must come; it is only used up by a failure.
@@ -36,6 +38,16 @@
 	return ln
 }
 
+// Free returns an address for what is started later in a test, or started again: nothing else takes it meanwhile.
+func Free(t testing.TB) string {
+	t.Helper()
+	found, err := loopback.Addresses(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found[0]
+}
+
 // Job is one run in the stand-in runtime.
 type Job struct {
 	UID, Lane string
--- a/logic/calls_test.go
+++ b/logic/calls_test.go
@@ -186,3 +186,32 @@
 		d.want(out, ActGoOn, 2) // the second time it is left out
 	}
 }
+
+// A dependency that answers most calls at once and some never: those hold up neither the others nor the estimate.
+func TestCallsThatHangHoldUpNoOthers(t *testing.T) {
+	cfg := testSettings()
+	cfg.Cores, cfg.CallsShare = 8, 13
+	d := drive(t, cfg)
+	hung, made := map[RequestID]bool{}, 0
+	for id := RequestID(1); id <= 400; id++ {
+		class := int(id % 2) // of an effect every other one: its call may take until it is due
+		out := d.step(2*ms, arrival(id, class, 3000*ms))
+		out = append(out, d.step(0, Event{Kind: EvNeedsCall, ID: id})...)
+		if find(out, ActCall, id) == nil {
+			continue
+		}
+		made++
+		if id%200 < 2 { // four in all
+			hung[id] = true
+			continue
+		}
+		d.step(ms, Event{Kind: EvCallResult, ID: id, Outcome: OK, Elapsed: 2 * ms})
+		d.step(0, done(id, OK, 5*ms))
+	}
+	if made < 390 {
+		t.Errorf("%d of 400 calls were made at once beside %d that hang", made, len(hung))
+	}
+	if mean := d.s.callTime.Mean; mean > float64(5*ms) {
+		t.Errorf("a call is taken to last %.1f ms; those that were answered took 2", mean/1000)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,6 +23,8 @@
 	queuedShare  = 0.02    // a request waits this share of its aim before it may be refused as hopeless
 	stallFloor   = 100000  // least completion gap that may be a stall (the paper's 100 ms)
 	stallGaps    = 6       // a stall is a gap of this many mean gaps, so that thin traffic is none
+	slowShare    = 0.18    // share of the mean aim that reading takes on a server too slow to be sent more
+	readShare    = 0.5     // share of the cores beyond which what is being read takes the place of runs
 	limitCut     = 0.75    // factor on the limit when runs slow each other
 	slowRuns     = 1.3     // recent mean over long mean run time that counts as slowed
 	crowdShare   = 0.75    // share of the crowd that the server survives which may run at once
@@ -32,6 +34,8 @@
 	callSlow     = 2       // mean over least call time from which calls count as slowed
 	callsDrift   = 0.002   // weight with which the least call time follows the mean: it may be over
 	callsBurst   = 10      // calls that may be made at once after a quiet spell
+	callsAhead   = 0.2     // and at least as much as is planned in this part of the mean aim
+	callWaits    = 0.3     // part of an aim that a call to a shared dependency may take, or counts for
 	callsKept    = 4       // calls' time kept back from the least worthy for the most worthy
 	callWeight   = 0.15    // weight of one sample of the call time, or age at reading: few tell of a change
 	callPatience = 6       // a call that may be left out waits this many least call times at most
@@ -52,6 +56,8 @@
 	toldOrdinary = 0.05    // part of the arrivals with a told share from which it is one of first tries
 	idleParts    = 4       // longest idle span over the one kept where all callers come back
 	lastShare    = 0.6     // refused share from which a further try elsewhere is taken to be in vain
+	lastFew      = 0.3     // the same where further tries that come here show that others refuse too
+	lastAgain    = 0.15    // share of further tries among the arrivals from which they show it
 	valveStep    = 0.4     // relative change of the idle span a look, for each unit of intake off its share
 	valveShare   = 0.35    // share of the cores that intake may take before the table is let fill
 	shutMost     = 0.9     // share of the traffic that a backlog keeps away at most
@@ -123,22 +129,24 @@
 	queue         []*request // held; order sorts it
 	active        []*request // running, calling or joined
 
-	limit     float64
-	share     float64 // of the cores and the memory: another process of this server has the rest
-	running   int
-	calls     int      // requests that stand at a call
-	memory    float64  // kilobytes of held and running requests
-	keys      []Micros // when entries of the table of keys expire, in order
-	recent    Average  // recent run time over the estimate at its start
-	gap       Average  // microseconds between completions while the cores are full
-	progress  Micros   // last sign that the cores get work done
-	stallEnd  Micros   // runs started before this are no samples
-	refusing  Average  // share of requests refused
-	failing   Average  // share of recent runs that failed
-	floor     float64  // rank below which callers are asked to send nothing
-	stale     Average  // age at reading, of staleShare of the aim
-	lastProbe Micros
-	gauges    Gauges
+	limit               float64
+	share               float64 // of the cores and the memory: another process of this server has the rest
+	running             int
+	calls               int      // requests that stand at a call
+	memory              float64  // kilobytes of held and running requests
+	keys                []Micros // when entries of the table of keys expire, in order
+	recent              Average  // recent run time over the estimate at its start
+	gap                 Average  // microseconds between completions while the cores are full
+	progress            Micros   // last sign that the cores get work done
+	stallEnd            Micros   // runs started before this are no samples
+	refusing            Average  // share of requests refused
+	failing             Average  // share of recent runs that failed
+	floor               float64  // rank below which callers are asked to send nothing
+	stale               Average  // age at reading, of staleShare of the aim
+	readGap             Average  // microseconds between requests read while cores read
+	again               float64  // share of further tries among the latest arrivals
+	lastProbe, lastRead Micros
+	gauges              Gauges
 
 	callTime  Average // microseconds of a call
 	callBest  float64 // the least that its mean has been lately
@@ -162,16 +170,11 @@
 	if err := check(cfg); err != nil {
 		return nil, err
 	}
-	cfg.RunFactor = max(1, cfg.RunFactor)
-	s := &Server{cfg: cfg, now: -1, byID: map[RequestID]*request{},
+	s := &Server{now: -1, byID: map[RequestID]*request{},
 		limit: float64(cfg.Cores), share: 1,
 		tokens: make([]float64, len(cfg.Tenants)), said: -1, healthy: true,
 		topWorth: 1e-9, gauges: Gauges{CoreUse: -1, RunQueue: -1, MemoryShare: -1, Connections: -1}}
-	for _, c := range cfg.Classes {
-		s.classes = append(s.classes, &classState{Class: c})
-		s.aim += float64(c.Aim) / float64(len(cfg.Classes))
-		s.topWorth = max(s.topWorth, c.Worth)
-	}
+	s.tune(cfg)
 	for i := range s.tokens {
 		s.tokens[i] = s.quota(i) * quotaBurst
 	}
@@ -187,6 +190,12 @@
 	if len(cfg.Classes) < len(s.classes) || len(cfg.Tenants) != len(s.cfg.Tenants) {
 		return errors.New("settings: while requests are in hand classes may only be added")
 	}
+	s.tune(cfg)
+	return nil
+}
+
+// tune takes over settings and their classes.
+func (s *Server) tune(cfg Settings) {
 	cfg.RunFactor = max(1, cfg.RunFactor)
 	s.cfg, s.aim = cfg, 0
 	for i, c := range cfg.Classes {
@@ -197,7 +206,6 @@
 		s.aim += float64(c.Aim) / float64(len(cfg.Classes))
 		s.topWorth = max(s.topWorth, c.Worth)
 	}
-	return nil
 }
 
 // Learned is what this server has found out so far.
@@ -230,23 +238,15 @@
 // Share says which part of the cores and the memory, up to 1, this server may use as of the next Step.
 func (s *Server) Share(part float64) { s.share = part }
 
+// check errs where nothing could be decided. Package settings says what is wrong with which key.
 func check(cfg Settings) error {
-	if cfg.Cores <= 0 || cfg.MemoryKB <= 0 || cfg.CallsShare > 0 && cfg.CallsSpan <= 0 {
-		return errors.New("settings: cores, memory and the span of a share of calls must be above 0")
-	}
-	if len(cfg.Classes) == 0 {
-		return errors.New("settings: no classes")
-	}
-	for _, span := range []Micros{cfg.WarmAfter, cfg.CrowdSpan, cfg.AnswerGrace, cfg.DrainGrace, cfg.Tick,
-		cfg.CallsSpan, cfg.CallLinger, cfg.MaxAdvice, cfg.IdleSpan} {
-		if span < 0 {
-			return errors.New("settings: negative span")
-		}
-	}
+	ok := len(cfg.Classes) > 0 && min(float64(cfg.Cores), cfg.MemoryKB) > 0
 	for _, c := range cfg.Classes {
-		if c.Aim <= 0 || c.Deadline <= 0 || c.Window < 0 {
-			return errors.New("settings: class " + c.Name + ": aim and deadline must be above 0")
-		}
+		ok = ok && c.Aim > 0 && c.Deadline > 0 && c.Window >= 0
+	}
+	if !ok || cfg.CallsShare > 0 && cfg.CallsSpan == 0 || min(cfg.WarmAfter, cfg.CrowdSpan, cfg.AnswerGrace,
+		cfg.DrainGrace, cfg.Tick, cfg.CallsSpan, cfg.CallLinger, cfg.MaxAdvice, cfg.IdleSpan) < 0 {
+		return errors.New("settings: cores, memory, aims and deadlines must be above 0, no span below")
 	}
 	return nil
 }
@@ -280,7 +280,7 @@
 		s.do(Action{Kind: ActHealth, On: true})
 	}
 	span := float64(now - s.now)
-	s.credit = min(s.credit+s.callPace()*span, callsBurst*s.callTime.Mean)
+	s.credit = min(s.credit+s.callPace()*span, max(callsBurst*s.callTime.Mean, callsAhead*s.aim*s.callPace()))
 	s.now = now
 	at, _ := slices.BinarySearch(s.keys, now)
 	s.keys = s.keys[at:]
@@ -334,9 +334,17 @@
 	if a.Wait == 0 {
 		r.due = max(s.now, r.arrived+c.Deadline)
 	}
-	r.first = r.arrived - s.spent(c, a.Wait+a.Age)
+	r.first = r.arrived - s.spent(c, r.due-r.arrived)
 	r.over = s.overQuota(r)
 	s.stale.add(min(1, float64(a.Age)/(staleShare*float64(c.Aim))), callWeight)
+	if s.reads() > 0 {
+		s.readGap.add(min(s.aim, float64(s.now-s.lastRead)), callWeight)
+	}
+	s.lastRead = s.now
+	s.again *= 1 - 1.0/heardLately
+	if a.Retry {
+		s.again += 1.0 / heardLately
+	}
 	s.latest = append(s.latest, a)
 	s.latest = s.latest[max(0, len(s.latest)-heardLately):]
 	s.byID[r.id] = r
@@ -354,13 +362,10 @@
 // callers is the number of callers of like traffic that the latest arrivals amount to, since most callers
 // carry little and an even split of the room would starve those that carry much.
 func (s *Server) callers() float64 {
-	pairs := 0
+	pairs, heard := 0, map[int]int{}
 	for _, a := range s.latest {
-		for _, other := range s.latest {
-			if a.Source == other.Source {
-				pairs++
-			}
-		}
+		heard[a.Source]++
+		pairs += 2*heard[a.Source] - 1
 	}
 	return float64(len(s.latest)*len(s.latest)) / float64(max(1, pairs))
 }
@@ -620,7 +625,7 @@
 // reading and new connections take too much of the cores. A full table turns callers away at no cost, but
 // taxes the cores and doesn't choose. It could harm where one long-lived stream holds each connection.
 func (s *Server) closeIdle() {
-	intake := max(0, s.gauges.RunQueue-float64(s.running)) / max(float64(s.cfg.Cores), s.gauges.RunQueue)
+	intake := s.reads() / max(float64(s.cfg.Cores), s.gauges.RunQueue)
 	longest := float64(s.cfg.IdleSpan)
 	shortest := longest / idleParts * max(0.1, 1-s.callers()/float64(max(1, len(s.latest))))
 	s.idle = min(longest, max(s.idle*(1+valveStep*(intake-valveShare)), shortest))
@@ -648,10 +653,22 @@
 	return max(1, float64(s.cfg.Cores)*(1+(s.cfg.CrowdFactor-1)*speed))
 }
 
-// slots is the number of runs allowed on the cores now: all that stand at calls may return together.
+// reads is how many requests are being read, one a core at most: all that wants the cores and does not run.
+func (s *Server) reads() float64 { return max(0, s.gauges.RunQueue-float64(s.running)) }
+
+// slow says whether a core takes so long to read one request, by Little's law, that hardly any can be served
+// in time. That tells a slow server from a crowded one, where each request has part of a core.
+func (s *Server) slow() bool {
+	part := min(1, float64(s.cfg.Cores)/max(1, s.gauges.RunQueue))
+	return s.reads()*s.readGap.Mean*part > slowShare*s.aim
+}
+
+// slots is the number of runs allowed on the cores now: all that stand at calls may return together. Unread
+// requests stand in line as they came, so while there is a line reading goes before running.
 func (s *Server) slots() int {
 	crowd, calls := s.crowd()*s.share, float64(s.calls)
-	return int(min(max(1, s.limit*s.share), max(1, crowd*crowdShare-calls/2), crowd-calls))
+	limit := s.limit*s.share - max(0, s.reads()-readShare*float64(s.cfg.Cores))
+	return int(min(max(1, limit), max(1, crowd*crowdShare-calls/2), crowd-calls))
 }
 
 // Guards.
@@ -780,9 +797,8 @@
 	}
 }
 
-// callResult goes on after a call. A call of an effect is repeated only if it never ran. A safe one is made
-// once more: its reply may have been lost on the way. After one that was turned away a shared dependency gets
-// no calls for a while. A tier has many servers, and most may idle: there only that request waits.
+// callResult goes on after a call. One of an effect is repeated only if it never ran, a safe one once more:
+// its reply may be lost. One that a shared dependency turns away stops calls for a while; a tier has others.
 func (s *Server) callResult(r *request, ev *Event) {
 	if !r.callOut {
 		return
@@ -795,7 +811,7 @@
 		return
 	}
 	r.lost++
-	if s.cfg.CallsShare > 0 {
+	if s.cfg.CallsShare > 0 && ev.Outcome.NeverRan() {
 		s.callsFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.Mean))
 	} else if ev.Outcome.NeverRan() {
 		r.callFrom = s.now + max(wakeTicks*s.cfg.Tick, Micros(callBack*float64(r.lost)*s.callTime.Mean))
@@ -811,14 +827,13 @@
 }
 
 // callSample takes a call's time into the averages. One given up took longer than was waited, but its reply
-// may also have been lost: it counts as somewhat slow, so that a few of those can't pass for a slow tier.
+// may be lost: it counts as somewhat slow, so that a few can't pass for a slow dependency.
 func (s *Server) callSample(ev *Event) {
 	took := float64(ev.Elapsed)
-	if ev.Outcome == TimedOut && took > s.callTime.Mean {
-		if s.cfg.CallsShare <= 0 && s.callTime.N > 0 {
-			took = min(took, callSlow*s.callTime.Mean)
-		}
-	} else if ev.Outcome != OK {
+	switch {
+	case ev.Outcome == TimedOut && took > s.callTime.Mean && s.callTime.N > 0:
+		took = min(took, callSlow*s.callTime.Mean)
+	case ev.Outcome != OK && (s.callTime.N > 0 || ev.Outcome != TimedOut):
 		return
 	}
 	s.callTime.add(max(1, took), callWeight)
@@ -840,7 +855,7 @@
 	s.callsHeld -= r.reserved
 	s.callsDone += h.span
 	// A debt from a crowd that has passed must not shut the calls out for long.
-	s.credit = max(s.credit-float64(h.span), -s.callPace()*s.aim/4)
+	s.credit = max(s.credit-min(float64(h.span), callWaits*s.aim), -s.callPace()*s.aim/4)
 	s.ledger = append(s.ledger, h)
 }
 
@@ -890,9 +905,8 @@
 	return list
 }
 
-// callDelay is how long a request's call waits for its turn if so many wait before it, in microseconds.
-// Calls that are out count for their mean time at the least. The less worth a class has, the more is kept
-// back for others to come.
+// callDelay is how long a request's call waits for its turn if so many wait before it, in microseconds. One
+// that is out counts for its mean time at least; the less worth a class has, the more is kept for others.
 func (s *Server) callDelay(r *request, ahead int) float64 {
 	if s.cfg.CallsShare <= 0 {
 		return 0
@@ -901,7 +915,7 @@
 	left := s.credit - (float64(ahead)+kept)*s.callTime.Mean
 	for _, r := range s.active {
 		if r.callOut {
-			left -= max(s.callTime.Mean, float64(s.now-r.called))
+			left -= max(s.callTime.Mean, min(float64(s.now-r.called), callWaits*s.aim))
 		}
 	}
 	return max(0, -left/s.callPace())
@@ -920,10 +934,11 @@
 // is no room for one that takes an ordinary time.
 func (s *Server) callSpan(r *request) Micros {
 	span := r.due - s.now
-	if c := s.classes[r.Class]; s.cfg.CallsShare <= 0 && s.callTime.N > 0 {
+	if c := s.classes[r.Class]; s.callTime.N > 0 {
 		if c.Effect == Safe { // its reply may be lost: it can be made again, or left out
-			span = min(span, max(wakeTicks*s.cfg.Tick, Micros(callPatience*s.callTime.Mean)))
-		} else if c.LateWorth == 0 {
+			patience := max(callPatience*s.callTime.Mean, min(1, s.cfg.CallsShare)*callWaits*float64(c.Aim))
+			span = min(span, max(wakeTicks*s.cfg.Tick, Micros(patience)))
+		} else if c.LateWorth == 0 && s.cfg.CallsShare <= 0 {
 			span = min(span, max(1, r.first+c.Aim-s.now))
 		}
 	}
@@ -966,13 +981,19 @@
 	}
 	if r.stage == held || s.classes[r.Class].Effect == Safe {
 		s.refusing.add(1, 1.0/heardLately)
-		s.do(Action{Kind: ActRefuse, ID: r.id, Span: s.advice(), Last: s.refusing.Mean > lastShare})
+		s.do(Action{Kind: ActRefuse, ID: r.id, Span: s.advice(), Last: s.inVain()})
 	} else {
 		s.do(Action{Kind: ActFail, ID: r.id})
 	}
 	s.dismiss(r)
 }
 
+// inVain says whether a try elsewhere is taken to be in vain: much is refused here and, by tries seen, there.
+func (s *Server) inVain() bool {
+	shares := s.refusing.Mean > lastFew && s.again > lastAgain
+	return !s.slow() && (shares || s.refusing.Mean > lastShare)
+}
+
 // forget drops a request that is over. A call still out stays in the dependency's hands for a while.
 func (s *Server) forget(r *request) {
 	switch r.stage {
@@ -997,18 +1018,18 @@
 }
 
 func drop(list []*request, r *request) []*request {
-	i := slices.Index(list, r)
-	return slices.Delete(list, i, i+1)
+	return slices.DeleteFunc(list, func(other *request) bool { return other == r })
 }
 
 // Signals to callers.
 
-// advice is how long a refused caller should stay away: about as long as it takes to start what is held.
+// advice is how long a refused caller should stay away: in proportion to the time that it takes to start what
+// is held and to read what stands unread, by the age of what was read.
 func (s *Server) advice() Micros {
-	if s.sick() || s.kill > 0 {
+	if s.sick() || s.kill > 0 || s.slow() {
 		return s.cfg.MaxAdvice
 	}
-	backlog := 0.0
+	backlog := staleShare * s.stale.Mean * s.aim
 	for _, r := range s.queue {
 		backlog += s.runTime(r) / s.limit
 	}
@@ -1045,7 +1066,11 @@
 	}
 	if s.cfg.Signal == SignalAllowance {
 		room := (1 - shut) * s.limit / max(1, s.callers())
-		if time := s.meanRun(); time > 0 {
+		time := 0.0 // the mean of T_m over the classes
+		for _, c := range s.classes {
+			time += c.Run.Mean / float64(len(s.classes))
+		}
+		if time > 0 {
 			room *= inviteShare * s.aim / time
 		}
 		return room
@@ -1068,15 +1093,6 @@
 	}
 }
 
-// meanRun is the mean run time over the classes, in microseconds.
-func (s *Server) meanRun() float64 {
-	time := 0.0
-	for _, c := range s.classes {
-		time += c.Run.Mean / float64(len(s.classes))
-	}
-	return time
-}
-
 // arm asks for one timer while there is work in hand.
 func (s *Server) arm() {
 	if len(s.byID) == 0 && s.healthy || s.wakeAt != 0 {
