Serve a second deployment: told waits from sockets, settings checked key by key

Three things held on one site only: the wait that a balancer tells (timeout) was not read from sockets; after a break of the runtime's link that lost notices, runs of before it were started again, which could run them twice; and a settings file with a share of -1, cores of -1 or a factor of 1e300 passed the check. Now the wait is read, runs that are not heard of after such a gap have failed, and one line names every fault with path, value, bound and what to write.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"sloehitch/internal/settings"
@@ -54,28 +55,40 @@
 func Parse(text []byte) (*Platform, error) {
 	p := &Platform{StopMS: 3000, Caps: Caps{Cores: 1, MemoryMB: 192, Sockets: 1024}}
 	if err := json.Unmarshal(text, p); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) && wrong.Field != "" {
+			return nil, settings.Faults{{Path: wrong.Field, Value: "a JSON " + wrong.Value, Want: "a value of type " + wrong.Type.String() + " is wanted"}}
+		}
 		return nil, err
 	}
 	if ops := os.Getenv("GW_OPS"); ops != "" {
 		p.Ops = ops
 	}
+	faults := p.check()
 	var object map[string]any
-	if err := json.Unmarshal(p.Raw, &object); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	if err := json.Unmarshal(p.Raw, &object); err != nil || object == nil {
+		faults = append(faults, settings.Fault{Path: "settings", Want: "an object as the platform gives it is needed"})
+		return nil, faults
 	}
 	var err error
 	if p.Logic, p.Names, err = settings.Parse(settings.Flatten(object)); err != nil {
-		return nil, err
+		var fs settings.Faults
+		if !errors.As(err, &fs) {
+			return nil, err
+		}
+		faults = append(faults, fs.Under("settings")...)
 	}
-	if _, err := logic.New(p.Logic, 0); err != nil {
-		return nil, err
+	if len(faults) > 0 {
+		return nil, faults
 	}
-	return p, p.check()
+	_, err = logic.New(p.Logic, 0)
+	return p, err
 }
 
-func (p *Platform) check() error {
+// check returns all that is wrong beside the settings.
+func (p *Platform) check() (faults settings.Faults) {
 	if p.Name == "" {
-		return errors.New("name is missing")
+		faults = append(faults, settings.Fault{Path: "name", Want: "the node's name is needed: the directory lists it"})
 	}
 	for _, a := range []struct {
 		field, address string
@@ -85,13 +98,25 @@
 			continue
 		}
 		if _, _, err := net.SplitHostPort(a.address); err != nil {
-			return fmt.Errorf("%s: %w", a.field, err)
+			faults = append(faults, settings.Fault{Path: a.field, Value: a.address, Want: "host and port are wanted, such as 127.0.0.1:4100"})
 		}
 	}
-	if p.StopMS <= 0 || p.Caps.MemoryMB <= 0 || p.Caps.Sockets <= 0 {
-		return errors.New("stop_ms, memory_mb and sockets must be above 0")
+	for _, n := range []struct {
+		field             string
+		value, from, most float64
+		why               string
+	}{
+		{"stop_ms", float64(p.StopMS), 1, 3600000, "milliseconds from the notice to leave to the kill"},
+		{"limits.cores", p.Caps.Cores, 0.01, 4096, "the program's share of cores"},
+		{"limits.memory_mb", float64(p.Caps.MemoryMB), 1, 1 << 20, "megabytes over which the program is killed"},
+		{"limits.sockets", float64(p.Caps.Sockets), 16, 1 << 20, "descriptors: fewer leave no room for links and callers"},
+	} {
+		if !(n.value >= n.from && n.value <= n.most) {
+			faults = append(faults, settings.Fault{Path: n.field, Value: fmt.Sprint(n.value),
+				Want: fmt.Sprintf("a number from %v to %v is wanted (%s)", n.from, strconv.FormatFloat(n.most, 'f', -1, 64), n.why)})
+		}
 	}
-	return nil
+	return faults
 }
 
 // Stop is the time from the notice to leave to the kill.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -25,6 +25,11 @@
 		{"no memory", strings.Replace(fine, `"memory_mb":64`, `"memory_mb":0`, 1), "memory_mb"},
 		{"no cores", strings.Replace(fine, `"cores":2`, `"cores":0`, 1), "cores"},
 		{"unknown semantics", strings.Replace(fine, "dedup", "maybe", 1), "semantics"},
+		{"a share below 0", strings.Replace(fine, `"cores":2`, `"cores":2,"calls-out":-1`, 1), `settings.domain.calls-out is "-1"`},
+		{"several at once", strings.Replace(strings.Replace(fine, `"n1"`, `""`, 1), `"stop_ms":3000`, `"stop_ms":0`, 1), `name is missing: the node's name is needed: the directory lists it; stop_ms is "0"`},
+		{"a word for a number", strings.Replace(fine, `"stop_ms":3000`, `"stop_ms":"soon"`, 1), "stop_ms is \"a JSON string\""},
+		{"settings that are none", `{"name":"n1","listen":"127.0.0.1:1","settings":[1]}`, "settings is missing"},
+		{"few descriptors", strings.Replace(fine, `"sockets":256`, `"sockets":3`, 1), "16 to 1048576"},
 		{"negative stop", strings.Replace(fine, `"stop_ms":3000`, `"stop_ms":-1`, 1), "stop_ms"},
 	} {
 		p, err := Parse([]byte(c.text))
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -345,7 +345,7 @@
 	}
 	tenant, known := o.Tenants[d.owner]
 	if !known {
-		if tenant = -1; len(o.Tenants) > 0 {
+		if tenant = -1; d.owner != "" && len(o.Tenants) > 0 {
 			return node.Request{}, fmt.Errorf("unknown tenant %.40q", d.owner)
 		}
 	}
@@ -353,7 +353,7 @@
 		return node.Request{}, fmt.Errorf("a time stamp %v from now", ahead)
 	}
 	return node.Request{ID: d.req, Class: class, Tenant: tenant, KB: d.need, Hint: d.work, Rank: d.level, Retry: d.resent,
-		Source: d.via, Arrived: d.arrived, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner, Front: "resp"}, nil
+		Source: d.via, Arrived: d.arrived, Wait: d.wait, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner, Front: "resp"}, nil
 }
 
 // state is what the connection is doing; the caller holds mu.
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -21,6 +21,7 @@
 	class, req, owner, opkey, subject string
 	arrived                           time.Time
 	via                               int
+	wait                              time.Duration // from arrived on; 0: not told
 	resent                            bool
 	work                              time.Duration
 	need                              float64
@@ -98,6 +99,11 @@
 		n, err := strconv.ParseUint(value, 10, 30)
 		d.via = int(n)
 		return err
+	case "timeout":
+		ms, err := number(value, 1e9)
+		// One whose time is over as it comes has told its wait all the same.
+		d.wait = max(time.Microsecond, time.Duration(ms*float64(time.Millisecond)))
+		return err
 	case "owner":
 		d.owner = value
 	case "resent":
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -18,7 +18,7 @@
 	"sloehitch/internal/standin"
 )
 
-const fine = "req=9b1f03aa5c7e2d41,ts=1764576000123,via=4,owner=acme,resent=1,ms=12.50,need=24.5,level=0.6250,opkey=5c0f"
+const fine = "req=9b1f03aa5c7e2d41,ts=1764576000123,via=4,owner=acme,timeout=480.5,resent=1,ms=12.50,need=24.5,level=0.6250,opkey=5c0f"
 
 func TestParse(t *testing.T) {
 	long := strings.Repeat("x", 2049)
@@ -51,6 +51,10 @@
 		{"need of nothing", []string{"DO", "7", "book", strings.Replace(fine, "24.5", "0.0", 1), ""}, false, "7"},
 		{"no need", []string{"DO", "7", "book", strings.Replace(fine, "need", "nee", 1), ""}, false, "7"},
 		{"level 1", []string{"DO", "7", "book", strings.Replace(fine, "0.6250", "1", 1), ""}, false, "7"},
+		{"a wait of no time", []string{"DO", "7", "book", strings.Replace(fine, "480.5", "0", 1), ""}, true, "7"},
+		{"a wait below 0", []string{"DO", "7", "book", strings.Replace(fine, "480.5", "-1", 1), ""}, false, "7"},
+		{"a wait beyond all time", []string{"DO", "7", "book", strings.Replace(fine, "480.5", "1e12", 1), ""}, false, "7"},
+		{"only what is needed", []string{"DO", "7", "book", "req=9b1f03aa5c7e2d41,ts=1764576000123,need=24.5", ""}, true, "7"},
 		{"resent 2", []string{"DO", "7", "book", strings.Replace(fine, "resent=1", "resent=2", 1), ""}, false, "7"},
 		{"UNDO of parts", []string{"UNDO", "7", "", ""}, false, "7"},
 		{"a field without a value", []string{"DO", "7", "book", fine + ",level", ""}, false, "7"},
@@ -74,7 +78,7 @@
 		t.Fatal(err)
 	}
 	want := do{class: "book", req: "9b1f03aa5c7e2d41", owner: "acme", opkey: "5c0f", subject: "7f3a",
-		arrived: time.UnixMilli(1764576000123), via: 4, resent: true, work: 12500 * time.Microsecond, need: 24.5, level: 0.625}
+		arrived: time.UnixMilli(1764576000123), wait: 480500 * time.Microsecond, via: 4, resent: true, work: 12500 * time.Microsecond, need: 24.5, level: 0.625}
 	got := m.do
 	if string(got.body) != "a\r\nb" {
 		t.Errorf("body %q", got.body)
--- a/internal/runtime/link.go
+++ b/internal/runtime/link.go
@@ -65,6 +65,7 @@
 	reply []byte    // the last answer to a call, likewise
 	sent  time.Time // when it was
 	ack   uint64    // the gauges whose coming shows that it was taken
+	link  uint64    // the link on which it was asked for or last heard of
 }
 
 // Link keeps a connection to the runtime open, for good.
@@ -90,6 +91,8 @@
 	tag     uint64    // of the gauges asked for last
 	taken   uint64    // and of those that came last
 	broke   time.Time // when the last link ended
+	links   uint64    // made so far
+	gap     bool      // notices of before this link are lost: the runtime keeps the last 4,000 only
 }
 
 // Echoes that show how far the other end is.
@@ -133,7 +136,7 @@
 func (l *Link) Start(id, class string, body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.jobs[id] = &job{start: l.send(command{Action: "start", UID: id, Lane: class, Content: base(body)})}
+	l.jobs[id] = &job{start: l.send(command{Action: "start", UID: id, Lane: class, Content: base(body)}), link: l.links}
 }
 
 // Stop pauses a run, or ends one whose request is over. Without a link it is left out: the module asks again, and
@@ -261,7 +264,8 @@
 		l.mu.Unlock()
 		return net.ErrClosed
 	}
-	l.conn, l.synced, l.leaving = conn, false, false
+	l.conn, l.synced, l.leaving, l.gap = conn, false, false, false
+	l.links++
 	pos := l.pos
 	l.mu.Unlock()
 	if _, err := l.write(conn, encode(command{Action: "sync", Pos: &pos})); err != nil {
@@ -379,7 +383,9 @@
 	case "load":
 		switch m.Echo {
 		case barrier:
-			l.resend()
+			for _, id := range l.resend() {
+				l.events.Ended(id, logic.Failed, 0, nil)
+			}
 			return nil
 		case handOver:
 			return errMoved
@@ -403,6 +409,10 @@
 	if pos <= l.pos {
 		return false
 	}
+	if l.pos > 0 && pos > l.pos+1 && !l.gap {
+		l.gap = true
+		l.log.Warn("the runtime no longer had all notices", fmt.Errorf("%d after %d", pos, l.pos))
+	}
 	l.pos = pos
 	return true
 }
@@ -429,22 +439,28 @@
 	}
 }
 
-// resend repeats what the broken link may have swallowed of runs that have shown no sign of life since.
-func (l *Link) resend() {
+// resend repeats what the broken link may have swallowed of runs that have shown no sign of life since. It returns those
+// that may have ended in a notice that is lost: to start them again could run them twice, to wait would be for nothing.
+func (l *Link) resend() (lost []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.resent { // a second reply could meet the run's next call
-		return
+		return nil
 	}
 	l.resent = true
-	for _, j := range l.jobs {
-		if j.start != nil {
+	for id, j := range l.jobs {
+		if l.gap && j.link < l.links {
+			delete(l.jobs, id)
+			lost = append(lost, id)
+		} else if j.start != nil {
 			l.queue = append(l.queue, j.start)
 		} else if j.reply != nil && (j.ack > l.taken || l.broke.Sub(j.sent) < l.opts.Limits.Swallowed) {
 			l.queue = append(l.queue, j.reply)
 		}
 	}
 	l.cond.Broadcast()
+	slices.Sort(lost)
+	return lost
 }
 
 // heard notes a sign of life of a run.
@@ -452,7 +468,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if j := l.jobs[id]; j != nil {
-		j.start, j.reply = nil, nil
+		j.start, j.reply, j.link = nil, nil, l.links
 	}
 }
 
--- a/internal/runtime/link_test.go
+++ b/internal/runtime/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -262,3 +264,39 @@
 		}
 	}
 }
+
+// TestNoticesThatAreLost: where the runtime no longer has all notices, a run that was asked for before the break and not
+// heard of since has failed, since its end may be among them; it is not started again.
+func TestNoticesThatAreLost(t *testing.T) {
+	resume := func(first uint64) (ended []end, queued int) {
+		l := New(Options{Limits: limits.For(64, 256), Log: standin.Quiet, Gauges: func(gate.Gauges) {}})
+		e := &events{make(chan end, 16), make(chan uint64, 16)}
+		l.events, l.synced, l.links = e, true, 1
+		for _, id := range []string{"a", "b", "c"} {
+			l.Start(id, "book", nil)
+		}
+		l.pos, l.links, l.queue = 10, 2, nil // all three were written; then the link broke
+		for i, line := range []string{`{"action":"wants","uid":"b"`, `{"action":"info"`} {
+			if err := l.take(fmt.Appendf(nil, `%s,"pos":%d}`, line, first+uint64(i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		l.Start("d", "book", nil)
+		l.queue = nil
+		if err := l.take([]byte(`{"action":"load","echo":"resumed","meters":[]}`)); err != nil {
+			t.Fatal(err)
+		}
+		close(e.ends)
+		for x := range e.ends {
+			ended = append(ended, x)
+		}
+		return ended, len(l.queue)
+	}
+	if got, queued := resume(11); len(got) != 0 || queued != 3 { // a and c may not have come; d is as good as them
+		t.Errorf("without a gap %v ended, %d starts were sent again", got, queued)
+	}
+	got, queued := resume(5000)
+	if !slices.Equal(got, []end{{"a", logic.Failed, ""}, {"c", logic.Failed, ""}}) || queued != 1 {
+		t.Errorf("after a gap %v ended, %d starts were sent again; want a and c failed, d sent", got, queued)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,71 +1,22 @@
 // Package settings reads the settings object that a server is told at its start, as pairs of path=value or as
-// nested JSON, into the terms of package logic.
+// nested JSON, into the terms of package logic. What can't be used is named key by key, all of it together.
 package settings
 
 import (
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 
 	"sloehitch/logic"
 )
 
-// pairs are the path=value settings of BEGIN; it keeps the first error.
-type pairs struct {
-	values map[string]string
-	err    error
-}
-
-func (p *pairs) text(path string) string { return p.values[path] }
-
-// number is a setting that may be absent: 0 then. None is negative.
-func (p *pairs) number(path string) float64 {
-	w, ok := p.values[path]
-	if !ok || w == "" || w == "-" {
-		return 0
-	}
-	return p.parse(path, w)
-}
-
-// parse reads one number of a setting.
-func (p *pairs) parse(path, w string) float64 {
-	v, err := strconv.ParseFloat(w, 64)
-	if (err != nil || v < 0 || math.IsNaN(v) || math.IsInf(v, 0)) && p.err == nil {
-		p.err = fmt.Errorf("bad setting %s=%q", path, p.text(path))
-	}
-	return v
-}
-
-func (p *pairs) micros(path string) logic.Micros { return logic.Micros(p.number(path)) }
-func (p *pairs) flag(path string) bool           { return p.text(path) == "true" || p.text(path) == "1" }
-
-// count is the length of a list of objects.
-func (p *pairs) count(path string) int {
-	n := p.number(path + ".count")
-	if n < 0 || n > float64(len(p.values)) {
-		if p.err == nil {
-			p.err = fmt.Errorf("bad setting %s.count=%q", path, p.text(path+".count"))
-		}
-		return 0
-	}
-	return int(n)
-}
-
-// item is the i-th value of a list of plain values.
-func (p *pairs) item(path string, i int) string {
-	list := strings.Split(p.text(path), ",")
-	if i >= len(list) {
-		return ""
-	}
-	return list[i]
-}
-
 var effects = map[string]logic.Effect{"retryable": logic.Safe, "dedup": logic.Keyed, "fragile": logic.Unsafe}
 var signals = map[string]logic.Signal{"off": logic.SignalNone, "floor": logic.SignalFloor,
 	"allowance": logic.SignalAllowance, "weight": logic.SignalWeight}
 var stopModes = map[string]logic.StopMode{"off": logic.StopOff, "discard": logic.StopDiscard,
 	"freeze": logic.StopFreeze}
+var downstreams = map[string]bool{"off": false, "tier": false, "one_for_all": true}
+var counts = map[string]bool{"request": false, "work": true}
 
 // Vocabulary maps the names in the settings to the indices that package logic uses.
 type Vocabulary struct {
@@ -74,60 +25,70 @@
 	Meters  []string // the names of the gauges, in the order in which they are told
 }
 
-// Parse reads settings given as values by path.
+// Parse reads settings given as values by path. Keys that it does not know are left alone, and most may be absent;
+// what an absent one comes to is said with its bound. An error is of type Faults and names all that is wrong.
 func Parse(values map[string]string) (logic.Settings, *Vocabulary, error) {
-	p := &pairs{values: values}
+	p := &reader{values: values}
 	s := logic.Settings{
-		Servers: int(p.number("servers")), Cold: p.flag("domain.just-started"),
-		Cores:    int(p.number("domain.cores")),
-		MemoryKB: p.number("domain.memory-kb"), RunFactor: p.number("domain.run-factor"),
-		KeyKB: p.number("domain.kb-per-key"), ColdCapacity: p.number("rules.start-capacity"),
-		WarmAfter: p.micros("rules.cold"), CrowdFactor: p.number("rules.overload-factor"),
-		CrowdSpan: p.micros("rules.fall"), AnswerGrace: p.micros("rules.grace-to-answer"),
-		DrainGrace: p.micros("rules.stop-sending-within"), Tick: p.micros("tick"),
-		CallsSpan: p.micros("domain.calls-over"), CallLinger: p.micros("domain.linger"),
-		TellsWait: p.flag("domain.passes-deadline"), Stop: stopModes[p.text("domain.stop-mode")],
-		Signal: signals[p.text("domain.signal")], IdleSpan: p.micros("domain.idle"),
-		WorthByWork: p.text("counted-by") == "work", OverShareWorth: p.number("over-share-worth"),
-	}
-	if p.flag("ceilings.retry-after") {
-		s.MaxAdvice = p.micros("ceilings.max-retry-after")
-	}
-	if p.text("domain.downstream") == "one_for_all" {
-		s.CallsShare = p.number("domain.calls-out")
+		Servers: int(p.number("servers", servers)), Cold: p.flag("domain.just-started"),
+		Cores:    int(p.number("domain.cores", cores)),
+		MemoryKB: p.number("domain.memory-kb", memory), RunFactor: p.number("domain.run-factor", runFactor),
+		KeyKB: p.number("domain.kb-per-key", keyKB), ColdCapacity: p.number("rules.start-capacity", share),
+		WarmAfter: p.micros("rules.cold", span), CrowdFactor: p.number("rules.overload-factor", crowd),
+		CrowdSpan: p.micros("rules.fall", span), AnswerGrace: p.micros("rules.grace-to-answer", span),
+		DrainGrace: p.micros("rules.stop-sending-within", span), Tick: p.micros("tick", tick),
+		CallsSpan: p.micros("domain.calls-over", span), CallLinger: p.micros("domain.linger", span),
+		TellsWait: p.flag("domain.passes-deadline"), Stop: word(p, "domain.stop-mode", stopModes),
+		Signal: word(p, "domain.signal", signals), IdleSpan: p.micros("domain.idle", span),
+		WorthByWork: word(p, "counted-by", counts), OverShareWorth: p.number("over-share-worth", overShare),
+	}
+	if advice := p.micros("ceilings.max-retry-after", span); p.flag("ceilings.retry-after") {
+		s.MaxAdvice = advice
+	}
+	if calls := p.number("domain.calls-out", callsOut); word(p, "domain.downstream", downstreams) {
+		s.CallsShare = calls
+		if s.CallsShare > 0 && s.CallsSpan == 0 {
+			p.fault("domain.calls-over", "a share of calls needs the span over which it is averaged: write microseconds, such as 5000000")
+		}
 	}
 	v := &Vocabulary{Classes: map[string]int{}, Tenants: map[string]int{}}
 	if meters := p.text("domain.meters"); meters != "" {
 		v.Meters = strings.Split(meters, ",")
 	}
-	for i := range p.count("classes") {
+	for i := range p.count("classes", 1, mostClasses) {
 		c := p.class(i)
-		v.Classes[c.Name] = i
+		p.name(fmt.Sprintf("classes.%d.name", i), i, v.Classes)
 		s.Classes = append(s.Classes, c)
 	}
-	for i := range p.count("projects") {
+	for i := range p.count("projects", 0, mostTenants) {
 		at := fmt.Sprintf("projects.%d.", i)
-		t := logic.Tenant{Name: p.text(at + "name"), Quota: p.number(at + "quota-per-s")}
-		v.Tenants[t.Name] = i
-		s.Tenants = append(s.Tenants, t)
+		p.name(at+"name", i, v.Tenants)
+		s.Tenants = append(s.Tenants, logic.Tenant{Name: p.text(at + "name"), Quota: p.number(at+"quota-per-s", quota)})
+	}
+	if len(p.faults) > 0 {
+		return s, v, p.faults
 	}
-	return s, v, p.err
+	return s, v, nil
 }
 
-func (p *pairs) class(i int) logic.Class {
+func (p *reader) class(i int) logic.Class {
 	at := fmt.Sprintf("classes.%d.", i)
-	effect, known := effects[p.text(at+"semantics")]
-	if !known && p.err == nil {
-		p.err = fmt.Errorf("bad setting %ssemantics=%q", at, p.text(at+"semantics"))
+	c := logic.Class{
+		Name: p.text(at + "name"), Aim: p.micros(at+"objective", wanted), AimStretch: p.number(at+"aim-stretch", stretch),
+		Deadline: p.micros(at+"hard-limit", wanted), Worth: p.number(at+"credit", credit),
+		LateWorth: p.number(at+"late-worth", share), Effect: word(p, at+"semantics", effects), Window: p.micros(at+"window", window),
+		Calls: p.truth("domain.class-calls", p.item("domain.class-calls", i)),
+	}
+	if p.text(at+"semantics") == "" {
+		p.fault(at+"semantics", "one of dedup, fragile or retryable is needed: whether a request may run again can't be guessed")
+	}
+	if c.Effect == logic.Keyed && c.Window == 0 {
+		p.fault(at+"window", "a dedup class needs the time within which a request may come again: write microseconds, such as 60000000")
 	}
-	degraded := p.parse("domain.degraded-worth", "0"+p.item("domain.degraded-worth", i)) // 0 where absent
-	calls := p.item("domain.class-calls", i)
-	return logic.Class{
-		Name: p.text(at + "name"), Aim: p.micros(at + "objective"), AimStretch: p.number(at + "aim-stretch"),
-		Deadline: p.micros(at + "hard-limit"), Worth: p.number(at + "credit"),
-		LateWorth: p.number(at + "late-worth"), Effect: effect, Window: p.micros(at + "window"),
-		Calls: calls == "true" || calls == "1", DegradedWorth: degraded,
+	if w := p.item("domain.degraded-worth", i); w != "" {
+		c.DegradedWorth = p.parse("domain.degraded-worth", w, share)
 	}
+	return c
 }
 
 // Flatten turns the settings' JSON form into values by path: list items stand under their index and a list of
@@ -157,12 +118,14 @@
 func flattenList(values map[string]string, path string, list []any) {
 	words := make([]string, len(list))
 	for i, item := range list {
-		if _, object := item.(map[string]any); object {
+		switch item.(type) {
+		case map[string]any:
 			values[path+".count"] = strconv.Itoa(len(list))
 			flatten(values, join(path, strconv.Itoa(i)), item)
-			continue
+		case nil: // a value that is absent keeps its place
+		default:
+			words[i] = fmt.Sprint(item)
 		}
-		words[i] = fmt.Sprint(item)
 	}
 	if values[path+".count"] == "" {
 		values[path] = strings.Join(words, ",")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
 	"testing"
 
 	"sloehitch/internal/standin"
@@ -34,15 +37,114 @@
 	}
 }
 
-func TestBadSettings(t *testing.T) {
-	for _, text := range []string{
-		`{"classes":[{"name":"a","semantics":"sometimes"}]}`,
-		`{"domain":{"cores":-1}}`,
-		`{"tick":"soon"}`,
-		`{"classes.count":5}`,
+// whole is a settings object with all that is needed and nothing else.
+const whole = `{"domain":{"cores":2,"memory-kb":20000},"classes":[{"name":"a","objective":1000000,"hard-limit":3000000,"semantics":"retryable"}]}`
+
+func TestAbsentSettingsComeToSomethingUsable(t *testing.T) {
+	s, v, err := read(t, whole)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.RunFactor != 1 || s.Tick != 4000 || s.CrowdFactor != 1000 || s.Servers != 1 || s.Classes[0].Worth != 1 || s.OverShareWorth != 1 ||
+		s.MaxAdvice != 0 || s.TellsWait || s.Stop != logic.StopOff || s.Signal != logic.SignalNone || len(v.Meters) != 0 {
+		t.Errorf("%+v", s)
+	}
+	if _, err := logic.New(s, 1); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestFaultsNamePathValueAndBound(t *testing.T) {
+	const class = `"classes":[{"name":"a","objective":1000000,"hard-limit":3000000,"semantics":"retryable"`
+	with := func(more string) string { return strings.Replace(whole, `"domain":{`, `"domain":{`+more+`,`, 1) }
+	of := func(more string) string { return strings.Replace(whole, class, class+","+more, 1) }
+	for _, c := range []struct {
+		text  string
+		words []string // all of the one fault
+	}{
+		{`{"classes":` + whole[strings.Index(whole, "[{"):], []string{"domain.cores is missing", "1 to 4096", "domain.memory-kb is missing"}},
+		{strings.Replace(whole, `"cores":2`, `"cores":-1`, 1), []string{`domain.cores is "-1"`, "whole number from 1 to 4096"}},
+		{strings.Replace(whole, `"cores":2`, `"cores":2.5`, 1), []string{`domain.cores is "2.5"`, "whole"}},
+		{strings.Replace(whole, `"cores":2`, `"cores":"two"`, 1), []string{`domain.cores is "two"`}},
+		{strings.Replace(whole, "20000", "0", 1), []string{`domain.memory-kb is "0"`, "above 0"}},
+		{with(`"run-factor":1e300`), []string{"domain.run-factor", "1000"}},
+		{with(`"downstream":"one_for_all","calls-out":-1,"calls-over":5000000`), []string{`domain.calls-out is "-1"`, "0 to 1000000"}},
+		{with(`"downstream":"one_for_all","calls-out":1`), []string{"domain.calls-over is missing", "span over which"}},
+		{with(`"downstream":"below"`), []string{`domain.downstream is "below"`, "off, one_for_all, tier"}},
+		{with(`"signal":"flor"`), []string{`domain.signal is "flor"`, "allowance, floor"}},
+		{with(`"stop-mode":7`), []string{`domain.stop-mode is "7"`, "discard"}},
+		{with(`"passes-deadline":"maybe"`), []string{`domain.passes-deadline is "maybe"`, "true or false"}},
+		{with(`"degraded-worth":[2]`), []string{`domain.degraded-worth is "2"`, "0 to 1"}},
+		{with(`"class-calls":["often"]`), []string{`domain.class-calls is "often"`}},
+		{strings.Replace(whole, "{", `{"rules":{"overload-factor":1e300},`, 1), []string{"rules.overload-factor", "1 to 1000"}},
+		{strings.Replace(whole, "{", `{"rules":{"fall":1e300},`, 1), []string{"rules.fall", "86400000000", "day"}},
+		{strings.Replace(whole, "{", `{"rules":{"grace-to-answer":-5},`, 1), []string{`rules.grace-to-answer is "-5"`}},
+		{strings.Replace(whole, "{", `{"rules":{"start-capacity":1.5},`, 1), []string{`rules.start-capacity is "1.5"`, "0 to 1"}},
+		{strings.Replace(whole, "{", `{"tick":"soon",`, 1), []string{`tick is "soon"`, "100 to 1000000"}},
+		{strings.Replace(whole, "{", `{"tick":1,`, 1), []string{`tick is "1"`}},
+		{strings.Replace(whole, "{", `{"counted-by":"weight",`, 1), []string{`counted-by is "weight"`, "request, work"}},
+		{strings.Replace(whole, "{", `{"projects":[{"name":"p"},{"name":"p"}],`, 1), []string{`projects[1].name is "p"`, "another"}},
+		{strings.Replace(whole, "{", `{"projects":[{"name":"p","quota-per-s":-3}],`, 1), []string{`projects[0].quota-per-s is "-3"`}},
+		{strings.Replace(whole, `"objective":1000000,`, "", 1), []string{"classes[0].objective is missing", "microseconds"}},
+		{strings.Replace(whole, `"hard-limit":3000000`, `"hard-limit":1e300`, 1), []string{"classes[0].hard-limit", "a day at most"}},
+		{strings.Replace(whole, `"name":"a",`, "", 1), []string{"classes[0].name is missing"}},
+		{strings.Replace(whole, `"retryable"`, `"sometimes"`, 1), []string{`classes[0].semantics is "sometimes"`, "dedup, fragile, retryable"}},
+		{strings.Replace(whole, `,"semantics":"retryable"`, "", 1), []string{"classes[0].semantics is missing"}},
+		{strings.Replace(whole, `"retryable"`, `"dedup"`, 1), []string{"classes[0].window is missing", "60000000"}},
+		{of(`"late-worth":2`), []string{`classes[0].late-worth is "2"`}},
+		{of(`"credit":-1`), []string{`classes[0].credit is "-1"`}},
+		{of(`"aim-stretch":1e9`), []string{"classes[0].aim-stretch"}},
+		{`{"domain":{"cores":2,"memory-kb":1}}`, []string{"classes is missing", "1 to 256"}},
+		{`{"domain":{"cores":2,"memory-kb":1},"classes":"many"}`, []string{`classes is "many"`, "list of objects"}},
+		{`{"domain":{"cores":2,"memory-kb":1},"classes.count":1e9}`, []string{"classes.count", "1 to 256"}},
+	} {
+		_, _, err := read(t, c.text)
+		if err == nil {
+			t.Errorf("%s: no error", c.text)
+			continue
+		}
+		for _, w := range c.words {
+			if !strings.Contains(err.Error(), w) {
+				t.Errorf("%s\n  %q lacks %q", c.text, err, w)
+			}
+		}
+	}
+}
+
+func TestFaultsAreToldTogether(t *testing.T) {
+	_, _, err := read(t, `{"tick":0,"domain":{"cores":-1,"run-factor":"x"},"classes":[{"name":"a","semantics":"dedup"}]}`)
+	var fs Faults
+	if !errors.As(err, &fs) {
+		t.Fatal(err)
+	}
+	var paths []string
+	for _, f := range fs {
+		paths = append(paths, f.Path)
+	}
+	slices.Sort(paths)
+	want := []string{"classes[0].hard-limit", "classes[0].objective", "classes[0].window", "domain.cores", "domain.memory-kb", "domain.run-factor", "tick"}
+	if !slices.Equal(paths, want) {
+		t.Errorf("faults at %v, want %v", paths, want)
+	}
+	if f := fs.Under("settings"); !strings.HasPrefix(f[0].Path, "settings.") || strings.HasPrefix(fs[0].Path, "settings.") {
+		t.Errorf("under a key: %v", f)
+	}
+	many := make(Faults, 50)
+	if text := many.Error(); !strings.HasSuffix(text, "and 30 more") {
+		t.Errorf("fifty faults: %q", text)
+	}
+}
+
+func TestFormsOfTheSettingsObject(t *testing.T) {
+	for name, text := range map[string]string{
+		"nested":         whole,
+		"paths":          `{"domain.cores":2,"domain.memory-kb":20000,"classes.count":1,"classes.0.name":"a","classes.0.objective":1e6,"classes.0.hard-limit":"3000000","classes.0.semantics":"retryable"}`,
+		"without counts": `{"domain.cores":2,"domain.memory-kb":20000,"classes":{"0":{"name":"a","objective":1000000,"hard-limit":3000000,"semantics":"retryable"}}}`,
+		"absent as null": strings.Replace(whole, `"cores":2`, `"cores":2,"signal":null,"degraded-worth":[null],"stop-mode":"-"`, 1),
 	} {
-		if _, _, err := read(t, text); err == nil {
-			t.Errorf("%s: no error", text)
+		s, _, err := read(t, text)
+		if err != nil || len(s.Classes) != 1 || s.Classes[0].Deadline != 3000000 || s.Cores != 2 {
+			t.Errorf("%s: %+v, %v", name, s, err)
 		}
 	}
 }
