--- a/cmd/sloehitch/ledger.go
+++ b/cmd/sloehitch/ledger.go
@@ -36,6 +36,8 @@
 	Dir      string `arg:"" help:"The ledger's folder." type:"path"`
 	JSON     bool   `help:"Speak JSON, one object a line; bytes that are no text as key64 and value64."`
 	MemoryMB int    `help:"Memory for the keys, in MB." default:"1024"`
+
+	tended bool // compacts by itself while it is open
 }
 
 // exitCode is an error that only sets the exit code: all has been said.
@@ -44,7 +46,7 @@
 func (e exitCode) Error() string { return fmt.Sprint("exit ", int(e)) }
 
 func (f *ledgerFlags) options(readOnly bool, log *slog.Logger) ledger.Options {
-	return ledger.Options{Limits: limits.ForLedger(int64(f.MemoryMB) << 20), ReadOnly: readOnly, Manual: true, Log: log, Step: progress()}
+	return ledger.Options{Limits: limits.ForLedger(int64(f.MemoryMB) << 20), ReadOnly: readOnly, Manual: !f.tended, Log: log, Step: progress()}
 }
 
 func (f *ledgerFlags) open(readOnly bool, log *slog.Logger) (*ledger.Store, error) {
@@ -114,6 +116,7 @@
 	if err != nil {
 		return err
 	}
+	c.tended = true // or overwriting would leave behind all that it replaced
 	s, err := c.open(false, log)
 	if err != nil {
 		return err
--- a/cmd/sloehitch/ledger_test.go
+++ b/cmd/sloehitch/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -34,13 +35,49 @@
 	os.Exit(m.Run())
 }
 
-// command is the real program with these arguments.
+// command is the real program with these arguments. The race detector would have each wait for a second at its end.
 func command(args ...string) *exec.Cmd {
 	c := exec.Command(os.Args[0], args...)
-	c.Env = append(os.Environ(), asMain+"=1")
+	c.Env = append(os.Environ(), asMain+"=1", "GORACE=atexit_sleep_ms=0")
 	return c
 }
 
+// TestLedgerPutCompacts: overwriting leaves no more behind than compactions let stand.
+func TestLedgerPutCompacts(t *testing.T) {
+	dir := t.TempDir()
+	c := command("ledger", "put", dir)
+	in, err := c.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	const lines, size = 120, 1 << 20 // a seventh of what is written stands in one segment
+	value := strings.Repeat("v", size-10)
+	for i := range lines {
+		if _, err := fmt.Fprintf(in, "k%d\t%s\n", i%4, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := errors.Join(in.Close(), c.Wait()); err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var bytes int64
+	for _, f := range files {
+		if st, err := os.Stat(f); err == nil {
+			bytes += st.Size()
+		}
+	}
+	if bytes > lines*size/2 {
+		t.Errorf("%d MB are left of %d MB, of which 4 count", bytes>>20, lines*size>>20)
+	}
+}
+
 // TestLedgerCommands tries the sub-commands as a person would.
 func TestLedgerCommands(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "new", "folder")
@@ -172,9 +209,7 @@
 	folder := filepath.Join(dir, "ledger")
 	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { return "OK", "done " + string(j.Body) })
 	rt.Syncs = make(chan uint64, 100)
-	ln := standin.Listen(t)
-	address := ln.Addr().String()
-	ln.Close()
+	address := standin.Free(t)
 	config, deploy := filepath.Join(dir, "config.json"), filepath.Join(dir, "deploy.toml")
 	write := func(path, text string) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -303,9 +338,7 @@
 	for _, on := range []bool{false, true} {
 		b.Run(fmt.Sprintf("ledger=%v", on), func(b *testing.B) {
 			rt := standin.NewRuntime(b, func(*standin.Job) (string, string) { return "OK", "r" })
-			ln := standin.Listen(b)
-			ln.Close()
-			p, err := config.Parse([]byte(standin.Config(ln.Addr().String(), rt.Address, "", ample)))
+			p, err := config.Parse([]byte(standin.Config(standin.Free(b), rt.Address, "", ample)))
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -325,7 +358,7 @@
 			stop := make(chan os.Signal, 1)
 			ended := make(chan error, 1)
 			go func() { ended <- d.run(stop) }()
-			c := standin.Dial(b, ln.Addr().String())
+			c := standin.Dial(b, p.Listen)
 			n := 0
 			for b.Loop() {
 				n++
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -97,6 +97,30 @@
 	Rest      time.Duration // between a compaction's flushes
 }
 
+// RaftLog bounds what a member of the store does to its folder at once.
+type RaftLog struct {
+	Batch     int // bytes of entries that share a flush, as far as one is not larger by itself
+	Deletions int // entries that go with one flush
+	Part      int // bytes of a snapshot that are written at once
+	Snapshots int // that are kept, the newest
+	Entry     int // bytes of one entry
+}
+
+// ForRaftLog are the bounds of a member's folder. A transaction of 1 MiB may take six times that on record, where every byte
+// has to be escaped.
+var ForRaftLog = RaftLog{Batch: 1 << 20, Deletions: 4096, Part: 512 << 10, Snapshots: 2, Entry: 7 << 20}
+
+// Ledger is the bounds of the ledger that it all lies in.
+func (r RaftLog) Ledger() Ledger {
+	l := ForLedger(32 << 20)
+	l.Value = r.Entry + 1024
+	l.Batch, l.Group, l.Queue = 2*l.Value, 2*l.Value, 4*l.Value
+	return l
+}
+
+// Lost is more changes than can be made, and more leases than can be granted, by members of the store that are then lost for good.
+const Lost = 1 << 32
+
 // Claims bounds what the processes of one node tell each other of keys.
 type Claims struct {
 	Bytes      int64         // of all segments together; beyond three quarters of it results are left out
@@ -154,3 +178,6 @@
 		Share: 50 * time.Millisecond, LearnedOldest: 10 * time.Second, Others: 200 * time.Millisecond, Sweep: time.Second, Orphan: 30 * time.Second, LogEvery: time.Second, Totals: time.Minute,
 	}
 }
+
+// Replace bounds the command that puts another release in place.
+const Replace = 2 * time.Minute
--- /dev/null
+++ b/internal/raftlog/raftlog_test.go
@@ -0,0 +1,248 @@
+package raftlog
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/raft"
+
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/ledger/simdisk"
+	"sloehitch/internal/limits"
+)
+
+var (
+	small   = limits.RaftLog{Batch: 200, Deletions: 3, Part: 100, Snapshots: 2}
+	options = ledger.Options{Limits: limits.ForLedger(1 << 20), Manual: true}
+)
+
+func open(t *testing.T, fs disk.FS) *Log { return openWith(t, fs, options) }
+
+func openWith(t *testing.T, fs disk.FS, o ledger.Options) *Log {
+	t.Helper()
+	l, err := Open(fs, small, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func entry(index, term uint64) *raft.Log {
+	return &raft.Log{Index: index, Term: term, Type: raft.LogCommand, Data: fmt.Appendf(nil, "entry %d of term %d", index, term), Extensions: []byte("x"), AppendedAt: time.Unix(0, int64(index))}
+}
+
+func (l *Log) holds(t *testing.T, first, last, term uint64) {
+	t.Helper()
+	if f, _ := l.FirstIndex(); f != first {
+		t.Errorf("the first entry is %d, want %d", f, first)
+	}
+	if n, _ := l.LastIndex(); n != last {
+		t.Errorf("the last entry is %d, want %d", n, last)
+	}
+	for i := first; i <= last && i > 0; i++ {
+		var e raft.Log
+		want := entry(i, term)
+		if err := l.GetLog(i, &e); err != nil || e.Term != term || e.Type != want.Type || !bytes.Equal(e.Data, want.Data) || !bytes.Equal(e.Extensions, want.Extensions) || !e.AppendedAt.Equal(want.AppendedAt) {
+			t.Errorf("entry %d: %+v, %v", i, e, err)
+		}
+	}
+}
+
+// TestLog: entries, deletions at both ends and raft's own values, before and after a restart.
+func TestLog(t *testing.T) {
+	fs := simdisk.New(1)
+	l := open(t, fs)
+	l.holds(t, 0, 0, 0)
+	var logs []*raft.Log
+	for i := uint64(5); i < 40; i++ {
+		logs = append(logs, entry(i, 2))
+	}
+	if err := errors.Join(l.StoreLogs(logs), l.StoreLog(entry(40, 2))); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.StoreLog(entry(42, 2)); err == nil {
+		t.Error("a gap was taken")
+	}
+	l.holds(t, 5, 40, 2)
+	if err := l.GetLog(4, &raft.Log{}); !errors.Is(err, raft.ErrLogNotFound) {
+		t.Errorf("an entry that is not there: %v", err)
+	}
+	if err := l.DeleteRange(10, 20); err == nil {
+		t.Error("entries amid others were deleted")
+	}
+	if err := errors.Join(l.DeleteRange(1, 9), l.DeleteRange(30, 99)); err != nil {
+		t.Fatal(err)
+	}
+	l.holds(t, 10, 29, 2)
+	if _, err := l.Get([]byte("term")); err == nil || err.Error() != "not found" {
+		t.Errorf("a value that is not there: %v", err)
+	}
+	if err := errors.Join(l.SetUint64([]byte("term"), 7), l.Set([]byte("vote"), []byte("n1")), l.Close()); err != nil {
+		t.Fatal(err)
+	}
+	l = open(t, fs)
+	l.holds(t, 10, 29, 2)
+	if n, err := l.GetUint64([]byte("term")); n != 7 || err != nil {
+		t.Errorf("term %d, %v", n, err)
+	}
+	if v, err := l.Get([]byte("vote")); string(v) != "n1" || err != nil {
+		t.Errorf("vote %q, %v", v, err)
+	}
+	if err := l.DeleteRange(0, 100); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.StoreLog(entry(100, 3)); err != nil {
+		t.Errorf("an entry after all were deleted: %v", err)
+	}
+	l.holds(t, 100, 100, 3)
+}
+
+// TestSnapshots: whole or not there, the newest few stay, a flipped bit is told, and a log in use is no hindrance.
+func TestSnapshots(t *testing.T) {
+	fs := simdisk.New(1)
+	l := open(t, fs)
+	write := func(index uint64, size int) raft.SnapshotSink {
+		s, err := l.Snapshots().Create(1, index, 2, raft.Configuration{Servers: []raft.Server{{ID: "n1"}}}, 1, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Write(bytes.Repeat([]byte{byte(index)}, size)); err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	begun := write(9, 250) // is still being written while others end
+	for i := uint64(1); i <= 4; i++ {
+		if err := write(i, int(i)*333).Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := write(8, 300).Cancel(); err != nil {
+		t.Fatal(err)
+	}
+	if err := begun.Close(); err != nil {
+		t.Fatal(err)
+	}
+	write(10, 400) // never ends
+	l.Close()
+	l = open(t, fs)
+	metas, err := l.Snapshots().List()
+	if err != nil || len(metas) != 2 || metas[0].Index != 9 || metas[1].Index != 4 || metas[1].Size != 1332 || metas[0].Configuration.Servers[0].ID != "n1" {
+		t.Fatalf("%+v, %v", metas, err)
+	}
+	for _, m := range metas {
+		_, from, err := l.Snapshots().Open(m.ID)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(from)
+		if err != nil || !bytes.Equal(text, bytes.Repeat([]byte{byte(m.Index)}, int(m.Size))) {
+			t.Errorf("snapshot %d: %d bytes, %v", m.Index, len(text), err)
+		}
+		from.Close()
+	}
+	if n := l.Ledger().Stats().Keys; n != 2+3+14 { // descriptions and parts: nothing is left of the others
+		t.Errorf("%d keys", n)
+	}
+	if err := l.Ledger().Put(partKey(metas[0].ID, 1), make([]byte, 100), time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	_, from, err := l.Snapshots().Open(metas[0].ID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(from); err == nil {
+		t.Error("bytes that were not written were read")
+	}
+}
+
+// TestCuts: the power is cut at drawn file operations of drawn work; what was acknowledged is there, entries have no gap,
+// and neither term nor vote goes back.
+func TestCuts(t *testing.T) {
+	for seed := range uint64(300) {
+		if wrong := cuts(t, seed, options); wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+	}
+}
+
+// TestMutantIsCaught: a log that acknowledges before it is durable does not pass for one that does not.
+func TestMutantIsCaught(t *testing.T) {
+	early := options
+	early.Flush = time.Hour
+	for seed := range uint64(20) {
+		if cuts(t, seed, early) != "" {
+			t.Logf("acknowledged before durable: caught by seed %d", seed)
+			return
+		}
+	}
+	t.Error("acknowledged before durable: not caught within 20 seeds")
+}
+
+// cuts plays one seed and says what did not hold.
+func cuts(t *testing.T, seed uint64, o ledger.Options) string {
+	r := rand.New(rand.NewPCG(seed, 5))
+	fs := simdisk.New(seed)
+	l := openWith(t, fs, o)
+	cut := fs.Ops + 1 + r.IntN(60)
+	fs.Decide = func(n int, _ simdisk.Op, _ string) simdisk.Fault {
+		if n == cut {
+			return simdisk.Cut
+		}
+		return simdisk.None
+	}
+	var first, last, term uint64 // acknowledged
+	low, high, goesTo := uint64(0), uint64(0), uint64(0)
+	for range 40 {
+		var err error
+		low, high, goesTo = first, last, term // what may be there, should this one be cut
+		switch k := r.IntN(4); {
+		case k < 2:
+			var logs []*raft.Log
+			from := last + 1
+			for i := range uint64(1 + r.IntN(12)) {
+				logs = append(logs, entry(from+i, 1))
+			}
+			high = from + uint64(len(logs)) - 1
+			if low == 0 {
+				low = from
+			}
+			if err = l.StoreLogs(logs); err == nil {
+				first, last = low, high
+			}
+		case k == 2 && last > first:
+			low = first + uint64(r.IntN(int(last-first)))
+			if err = l.DeleteRange(0, low-1); err == nil {
+				first = low
+			}
+		default:
+			goesTo = term + 1
+			if err = l.Set([]byte("term"), binary.BigEndian.AppendUint64(nil, goesTo)); err == nil { // SetUint64 waits for a disk that works
+				term = goesTo
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	l.Close()
+	l = openWith(t, fs.Cut(seed), o)
+	defer l.Close()
+	f, _ := l.FirstIndex()
+	n, _ := l.LastIndex()
+	if n < last || n > high || f < first && first > 0 || f > low {
+		return fmt.Sprintf("entries %d to %d are there, %d to %d were acknowledged", f, n, first, last)
+	}
+	l.holds(t, f, n, 1)
+	if got, _ := l.GetUint64([]byte("term")); got < term || got > goesTo {
+		return fmt.Sprintf("term %d, acknowledged %d", got, term)
+	}
+	return ""
+}
