Decide who may be out at once, and how a release goes, halts and goes back

Nobody counted drains: two operators, or one and a rolling release, could take half of a building out. Budgets of groups, permits, the keeper and a node's agent, releases in waves and the judgement of changed nodes against unchanged ones beside them are packages without I/O or clock.

--- /dev/null
+++ b/internal/permit/walk/walk_test.go
@@ -0,0 +1,46 @@
+package walk
+
+import (
+	"flag"
+	"testing"
+)
+
+var seeds = flag.Int("walk.seeds", 60, "how many fleets are played")
+
+// TestPermits: whatever happens, no more are out by choice than the budgets let, nothing begins after a halt was acknowledged, and every
+// wish has its way once the faults are over; each kind of thing has happened often enough to show it.
+func TestPermits(t *testing.T) {
+	met, sum := map[string]int{}, map[string]int{}
+	for seed := range uint64(*seeds) {
+		wrong, here := Play(seed, "")
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		for what, n := range here {
+			met[what]++
+			sum[what] += n
+		}
+	}
+	t.Logf("of %d fleets: %v; in all %v", *seeds, met, sum)
+	for _, what := range []string{"out", "refused", "replaced", "halted", "keepers", "killed"} {
+		if met[what]*10 < *seeds {
+			t.Errorf("%s: in %d of %d fleets only", what, met[what], *seeds)
+		}
+	}
+}
+
+// TestMutants begins close to the seed at which each is seen first (docs/design/drains.md has all of them from 1).
+func TestMutants(t *testing.T) {
+	for mutant, first := range map[string]uint64{"halt not looked at": 5, "old permit still good": 5, "window not counted": 590, "counted before others were granted": 88, "lapse frees a begun permit": 282, "warming counts as in": 5} {
+		found := false
+		for seed := first; seed < first+20 && !found; seed++ {
+			if wrong, _ := Play(seed, mutant); wrong != "" {
+				t.Logf("%s: seed %d: %.200s", mutant, seed, wrong)
+				found = true
+			}
+		}
+		if !found {
+			t.Errorf("%s: not seen in 20 seeds from %d", mutant, first)
+		}
+	}
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,241 @@
+// Package verdict judges whether nodes that run another version are worse than those that do not yet, at the same time. It has no I/O and no
+// clock; counts of spans of time go in.
+//
+// Each changed node is compared, span by span, with the unchanged nodes of its zone, and its difference to them with what that was before
+// it was changed: a rise of load and a sick service below are the same on both sides, and a machine that was slow all along was so
+// before. Nodes of one zone that are not changed must be left to compare with; without any there is no verdict, and that is said.
+//
+// The differences of a node are taken for independent from span to span, and a mean of many of them for normal (a one-sided z test on
+// paired differences; Bonferroni over all looks and figures of a release). A difference below Least is no matter, however certain.
+package verdict
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Span is what a node counted in one stretch of time.
+type Span struct {
+	Served, Refused, Failed float64
+	P99MS                   float64 // 0: not known
+}
+
+// figure is one that is compared.
+type figure struct {
+	name  string
+	of    func(Span) (value float64, known bool)
+	least float64 // a difference below this is no matter
+	unit  string
+}
+
+func share(part func(Span) float64) func(Span) (float64, bool) {
+	return func(s Span) (float64, bool) {
+		all := s.Served + s.Refused + s.Failed
+		return part(s) / max(all, 1), all >= 5
+	}
+}
+
+var figures = []figure{
+	{"failed share", share(func(s Span) float64 { return s.Failed }), 0.01, ""},
+	{"refused share", share(func(s Span) float64 { return s.Refused }), 0.03, ""},
+	{"99th percentile of latency", func(s Span) (float64, bool) { return math.Log(max(s.P99MS, 0.01)), s.P99MS > 0 }, math.Log(1.3), " (log)"},
+}
+
+// Terms are how certain a verdict is to be.
+type Terms struct {
+	FalseAlarm float64 // chance that a release of a good version is called worse, over all looks at it: 0.01
+	Looks      int     // at most, over the release
+	Least      int     // spans of a node on either side of its change that are wanted
+}
+
+// Node is one node's spans, oldest first, of the same stretches for all nodes: Spans[i] is of the same time in each. Known says which of them
+// are; a node that was out or silent has none then.
+type Node struct {
+	Name, Zone string
+	Spans      []Span
+	Known      []bool
+	Changed    int  // the first span that counts as after its change; 0: not changed
+	Restarts   int  // beyond that of the change itself, since then
+	In         bool // it is to be judged: it has come back
+}
+
+// Judgement is what came of a look.
+type Judgement struct {
+	Worse bool
+	Why   string // of a worse one, or why nothing can be said yet
+	Sure  bool   // there were enough spans to call it no worse
+}
+
+// Judge looks at all nodes.
+func Judge(t Terms, nodes []Node) Judgement {
+	z := math.Sqrt2 * math.Erfinv(1-2*t.FalseAlarm/float64(max(1, t.Looks)*len(figures)))
+	var changed []Node
+	for _, n := range nodes {
+		if n.Changed > 0 && n.In {
+			changed = append(changed, n)
+		}
+	}
+	if len(changed) == 0 {
+		return Judgement{Why: "nothing is changed yet"}
+	}
+	for _, n := range changed {
+		if n.Restarts > 1 {
+			return Judgement{Worse: true, Why: fmt.Sprintf("%s was started %d times since its change", n.Name, n.Restarts)}
+		}
+	}
+	j := Judgement{Sure: true}
+	for _, f := range figures {
+		var all []float64 // differences of all changed nodes, each less its own from before
+		short := 0
+		for _, n := range changed {
+			before, after := paired(f, n, nodes)
+			if len(after) < t.Least || len(before) < t.Least {
+				short++
+				continue
+			}
+			was := mean(before)
+			for _, d := range after {
+				all = append(all, d-was)
+			}
+		}
+		if short > 0 && f.name == figures[0].name {
+			j.Sure, j.Why = false, fmt.Sprintf("%d of %d changed nodes have too few spans, or nobody of their zone to compare with", short, len(changed))
+		}
+		if len(all) < t.Least {
+			continue
+		}
+		m, dev := mean(all), deviation(all)
+		// What was before is a mean of at least Least spans, with an error of its own.
+		err := dev * math.Sqrt(1/float64(len(all))+1/float64(t.Least))
+		if m > f.least && m > z*err {
+			return Judgement{Worse: true, Sure: true, Why: fmt.Sprintf("%s of the changed nodes is %.3f%s above the others' of their zones, where %.3f would be chance", f.name, m, f.unit, max(f.least, z*err))}
+		}
+	}
+	return j
+}
+
+// paired are the differences of a node to the unchanged ones of its zone, before and after its change. Spans in which it was not in, or nobody
+// was there to compare with, are left out.
+func paired(f figure, n Node, nodes []Node) (before, after []float64) {
+	for i, s := range n.Spans {
+		if !n.Known[i] {
+			continue
+		}
+		own, known := f.of(s)
+		if !known {
+			continue
+		}
+		sum, count := 0.0, 0
+		for _, o := range nodes {
+			if o.Name == n.Name || o.Zone != n.Zone || i >= len(o.Spans) || !o.Known[i] || o.Changed > 0 && i >= o.Changed-1 {
+				continue
+			}
+			if v, known := f.of(o.Spans[i]); known {
+				sum, count = sum+v, count+1
+			}
+		}
+		switch {
+		case count == 0:
+		case n.Changed > 0 && i >= n.Changed:
+			after = append(after, own-sum/float64(count))
+		case i < n.Changed-1 || n.Changed == 0:
+			before = append(before, own-sum/float64(count))
+		}
+	}
+	return before, after
+}
+
+func mean(x []float64) float64 {
+	sum := 0.0
+	for _, v := range x {
+		sum += v
+	}
+	return sum / float64(len(x))
+}
+
+func deviation(x []float64) float64 {
+	m, sum := mean(x), 0.0
+	for _, v := range x {
+		sum += (v - m) * (v - m)
+	}
+	return math.Sqrt(sum / float64(max(1, len(x)-1)))
+}
+
+// Recorder takes the nodes' counts as they report them, and makes spans of them. It is not safe for concurrent use.
+type Recorder struct {
+	keep  int
+	nodes map[string]*recorded
+	spans int
+}
+
+type recorded struct {
+	Node
+	last  Span
+	since int64 // when its process began
+	have  bool
+}
+
+// NewRecorder returns one that keeps so many spans.
+func NewRecorder(keep int) *Recorder { return &Recorder{keep: keep, nodes: map[string]*recorded{}} }
+
+// Report is what a node's counts are now.
+type Report struct {
+	Name, Zone string
+	Total      Span  // since its process began
+	Since      int64 // when that was
+	In         bool  // it is in service, and has been for long enough
+	Changed    bool  // it runs what it is to be changed to
+}
+
+// Take ends a span with the reports as they are.
+func (r *Recorder) Take(reports []Report) {
+	r.spans++
+	here := map[string]bool{}
+	for _, x := range reports {
+		here[x.Name] = true
+		n := r.nodes[x.Name]
+		if n == nil {
+			n = &recorded{Node: Node{Name: x.Name, Zone: x.Zone, Spans: make([]Span, r.spans-1), Known: make([]bool, r.spans-1)}}
+			r.nodes[x.Name] = n
+		}
+		known := x.In && n.have && x.Since == n.since
+		if n.have && x.Since != n.since && n.Changed > 0 {
+			n.Restarts++
+		}
+		if x.Changed && n.Changed == 0 && n.have { // what it did while it was out and came back counts as neither
+			n.Changed, n.Restarts = r.spans+1, 1
+		}
+		d := Span{Served: x.Total.Served - n.last.Served, Refused: x.Total.Refused - n.last.Refused, Failed: x.Total.Failed - n.last.Failed, P99MS: x.Total.P99MS}
+		n.Spans, n.Known = append(n.Spans, d), append(n.Known, known)
+		n.last, n.since, n.have, n.In, n.Zone = x.Total, x.Since, true, x.In, x.Zone
+	}
+	for name, n := range r.nodes {
+		if !here[name] {
+			n.Spans, n.Known, n.have, n.In = append(n.Spans, Span{}), append(n.Known, false), false, false
+		}
+	}
+	if over := r.spans - r.keep; over > 0 {
+		r.spans -= over
+		for _, n := range r.nodes {
+			n.Spans, n.Known = slices.Delete(n.Spans, 0, over), slices.Delete(n.Known, 0, over)
+			if n.Changed > 0 {
+				n.Changed = max(1, n.Changed-over)
+			}
+		}
+	}
+}
+
+// Nodes are what was recorded, by name.
+func (r *Recorder) Nodes() (list []Node) {
+	for _, n := range r.nodes {
+		list = append(list, n.Node)
+	}
+	slices.SortFunc(list, func(a, b Node) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,95 @@
+package verdict
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// played is a release of eight nodes in two zones, node by node, looked at after each span once the first is changed; bad changes what a
+// changed node counts, all what every node does, from the middle on.
+func played(seed uint64, bad, all func(node int, s *Span)) (Judgement, int) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	terms := Terms{FalseAlarm: 0.01, Looks: 100, Least: 8}
+	rec := NewRecorder(200)
+	total := make([]Span, 8)
+	spans := 0
+	for ; spans < 110; spans++ {
+		load := 100 * (1 + 0.5*r.Float64())
+		var reports []Report
+		for i := range total {
+			changed := spans >= 20+12*i && i < 6
+			s := Span{Served: load * (0.9 + 0.2*r.Float64()), P99MS: 20 * (0.8 + 0.4*r.Float64())}
+			s.Refused, s.Failed = s.Served*0.05*r.Float64(), s.Served*0.01*r.Float64()
+			if i == 3 { // a slow machine, all along
+				s.Refused *= 6
+				s.P99MS *= 4
+			}
+			if all != nil && spans > 30 {
+				all(i, &s)
+			}
+			if changed && bad != nil {
+				bad(i, &s)
+			}
+			total[i] = Span{total[i].Served + s.Served, total[i].Refused + s.Refused, total[i].Failed + s.Failed, s.P99MS}
+			since := int64(1)
+			if changed {
+				since = 2
+			}
+			reports = append(reports, Report{Name: fmt.Sprint("n", i), Zone: fmt.Sprint(i % 2), Total: total[i], Since: since, In: true, Changed: changed})
+		}
+		rec.Take(reports)
+		if j := Judge(terms, rec.Nodes()); j.Worse {
+			return j, spans
+		}
+	}
+	return Judgement{}, spans
+}
+
+// TestVerdicts: a bad version is seen, by its figure; a rise of load, a sick service below and a slow machine are no verdict on it.
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		bad, all func(int, *Span)
+		why      string
+	}{
+		{"good", nil, nil, ""},
+		{"fails more", func(_ int, s *Span) { s.Failed += 0.05 * s.Served }, nil, "failed share"},
+		{"refuses more", func(_ int, s *Span) { s.Refused += 0.2 * s.Served }, nil, "refused share"},
+		{"is slower", func(_ int, s *Span) { s.P99MS *= 2 }, nil, "latency"},
+		{"a rise of load", nil, func(_ int, s *Span) { s.Refused += s.Served; s.P99MS *= 3 }, ""},
+		{"a sick service below", nil, func(_ int, s *Span) { s.Failed += 0.3 * s.Served }, ""},
+		{"bad, and only under load", func(_ int, s *Span) { s.Failed += 0.1 * max(0, s.Served-110) }, nil, "failed share"},
+	} {
+		j, spans := played(1, c.bad, c.all)
+		if j.Worse != (c.why != "") || !strings.Contains(j.Why, c.why) {
+			t.Errorf("%s: %+v", c.name, j)
+		}
+		t.Logf("%s: worse %v after %d spans, the first node changed at 20", c.name, j.Worse, spans)
+	}
+}
+
+// TestFalseAlarms: over 100 releases of good versions no more are called worse than was stated, with what chance allows for.
+func TestFalseAlarms(t *testing.T) {
+	alarms := 0
+	for seed := range uint64(100) {
+		if j, _ := played(seed+10, nil, nil); j.Worse {
+			alarms++
+		}
+	}
+	if t.Logf("%d of 100", alarms); alarms > 4 { // 1 is stated; 5 or more of them by chance: 0.4%
+		t.Errorf("%d of 100 good releases were called worse", alarms)
+	}
+}
+
+func TestNothingToCompareWith(t *testing.T) {
+	one := Node{Name: "n0", Zone: "a", Spans: make([]Span, 40), Known: make([]bool, 40), Changed: 10, In: true}
+	if j := Judge(Terms{0.01, 10, 5}, []Node{one}); j.Worse || j.Sure || !strings.Contains(j.Why, "nobody of their zone") {
+		t.Errorf("%+v", j)
+	}
+	one.Restarts = 3
+	if j := Judge(Terms{0.01, 10, 5}, []Node{one}); !j.Worse || !strings.Contains(j.Why, "started 3 times") {
+		t.Errorf("%+v", j)
+	}
+}
