--- a/cmd/sloehitch-lab/main.go
+++ b/cmd/sloehitch-lab/main.go
@@ -16,12 +16,16 @@
 )
 
 var cli struct {
-	Uwsgi  uwsgiCmd  `cmd:"" help:"Speak uwsgi."`
-	Run    runCmd    `cmd:"" help:"Play an experiment in the emulator, and report it."`
-	Load   loadCmd   `cmd:"" help:"Play an experiment's load against real daemons on loopback, and hold the emulator against them."`
-	Trace  traceCmd  `cmd:"" help:"Tell the life of one emulated request, and write all of them for a trace viewer."`
-	Report reportCmd `cmd:"" help:"Print and draw what a folder of results holds."`
-	Diff   diffCmd   `cmd:"" help:"Say what changed between two folders of results, and whether it is beyond noise."`
+	Uwsgi   uwsgiCmd   `cmd:"" help:"Speak uwsgi."`
+	Run     runCmd     `cmd:"" help:"Play an experiment in the emulator, and report it."`
+	Load    loadCmd    `cmd:"" help:"Play an experiment's load against real daemons on loopback, and hold the emulator against them."`
+	Fleet   fleetCmd   `cmd:"" help:"Put faults between real processes of a fleet on loopback, and check what held."`
+	Outage  outageCmd  `cmd:"" help:"Measure for how long a duty is at nobody's hands after its owner was killed, stopped, told to leave or cut off."`
+	Reports reportsCmd `cmd:"" help:"Measure what the reports of many nodes cost the store; all in one process."`
+	Walk    walkCmd    `cmd:"" help:"Play seeds of the models of leases or duties, in simulated time."`
+	Trace   traceCmd   `cmd:"" help:"Tell the life of one emulated request, and write all of them for a trace viewer."`
+	Report  reportCmd  `cmd:"" help:"Print and draw what a folder of results holds."`
+	Diff    diffCmd    `cmd:"" help:"Say what changed between two folders of results, and whether it is beyond noise."`
 }
 
 type uwsgiCmd struct {
--- /dev/null
+++ b/cmd/sloehitch/drain.go
@@ -0,0 +1,325 @@
+package main
+
+import (
+	"cmp"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"sloehitch/internal/budget"
+	"sloehitch/internal/fleet"
+	"sloehitch/internal/permit"
+	"sloehitch/internal/store"
+)
+
+// outView is what is known of who is out, as a keeper sees it but for how long it has looked itself.
+type outView struct {
+	permit.View
+	at   permit.Versions
+	seen store.Seen
+}
+
+// look reads it, confirmed by a majority.
+func look(c store.Client) (v outView, err error) {
+	docs, seen, err := c.Documents("", false)
+	if err != nil {
+		return v, fmt.Errorf("%w; without a majority nothing can be permitted, and nothing begins", err)
+	}
+	v.seen = seen
+	var wrong error
+	v.View, v.at, wrong = permit.ViewOf(docs, permit.Plain, time.Now().UnixMilli())
+	silent := map[string]bool{}
+	for _, d := range docs {
+		if name, marked := strings.CutPrefix(d.Key, "silent/"); marked {
+			silent[name] = true
+		}
+	}
+	for _, d := range docs {
+		name, is := strings.CutPrefix(d.Key, "node/")
+		if !is {
+			continue
+		}
+		s := permit.Seen{Name: name}
+		s.Bad = json.Unmarshal([]byte(d.Value), &s.Report) != nil
+		s.Since = s.Report.Since
+		if silent[name] {
+			s.Quiet = budget.Silent
+		}
+		v.Members = append(v.Members, s)
+	}
+	v.View = v.WithServers(fleet.Service)
+	return v, wrong
+}
+
+type fleetBudgetCmd struct {
+	File string `help:"Set the budgets that this file has, as [[budget]] sections; without it they are shown." type:"existingfile"`
+	By   string `help:"Who sets them." env:"USER"`
+	Why  string `help:"Why; kept in the history."`
+}
+
+func (c *fleetBudgetCmd) Run(_ *slog.Logger) error {
+	ask := cli.Fleet.client()
+	v, err := look(ask)
+	if err != nil {
+		return err
+	}
+	if c.File == "" {
+		fmt.Println(since(v.seen))
+		for _, r := range v.Rules {
+			fmt.Println(permit.Text(r))
+		}
+		if len(v.Rules) == 0 {
+			fmt.Println("no budget is set: nothing may go out by choice")
+		}
+		room := budget.Room(v.Rules, v.Counted(0))
+		for _, group := range slices.Sorted(maps.Keys(room)) {
+			fmt.Printf("%s: %d more may go out now\n", group, room[group])
+		}
+		return nil
+	}
+	if c.By == "" || c.Why == "" {
+		return errors.New("--by and --why are wanted: budgets are changed on record")
+	}
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	rules, err := parseBudgets(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	r, err := setIf(ask, reason{c.By, c.Why}, permit.Rules, v.at[permit.Rules], permit.Text(rules))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("revision %d: %d budgets\n", r.Revision, len(rules))
+	for _, o := range budget.Over(rules, v.Counted(0)) {
+		fmt.Printf("of %s %d may be out and %d are: nothing of it begins until it fits\n", o.Group, o.Most, len(o.Out))
+	}
+	return nil
+}
+
+// parseBudgets reads a file of budgets.
+func parseBudgets(text []byte) (budget.Rules, error) {
+	var file struct {
+		Budget budget.Rules `toml:"budget"`
+	}
+	if err := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields().Decode(&file); err != nil {
+		return nil, err
+	}
+	if len(file.Budget) == 0 {
+		return nil, errors.New("it has no budget; write such as [[budget]] group = \"zone\" most_out = 1")
+	}
+	return file.Budget, file.Budget.Check()
+}
+
+type fleetDrainCmd struct {
+	Nodes  []string      `arg:"" help:"The nodes' names, zone=Z for all nodes of a zone, or server=ADDRESS for a server below."`
+	Until  time.Duration `help:"From now, after which they come back by themselves; 0: until undrain."`
+	Within time.Duration `help:"In which each should be empty; one that is not says so."`
+	Urgent bool          `help:"Before what is planned."`
+	reason
+}
+
+// named are the nodes that are meant.
+func named(v outView, words []string) (list []string, err error) {
+	for _, w := range words {
+		zone, all := strings.CutPrefix(w, "zone=")
+		if address, server := strings.CutPrefix(w, "server="); server {
+			w = permit.ServerName(address)
+		}
+		found := false
+		for _, m := range v.Members {
+			if m.Name == w && !all || all && m.Service == "" && m.Report.Zone == zone {
+				found = true
+				if !slices.Contains(list, m.Name) {
+					list = append(list, m.Name)
+				}
+			}
+		}
+		if !found {
+			return nil, fmt.Errorf("%q: no such node has reported; \"fleet status\" lists them", w)
+		}
+	}
+	return list, nil
+}
+
+func (c *fleetDrainCmd) Run(_ *slog.Logger) error {
+	ask := cli.Fleet.client()
+	v, err := look(ask)
+	if err != nil {
+		return err
+	}
+	nodes, err := named(v, c.Nodes)
+	if err != nil {
+		return err
+	}
+	a := permit.Ask{By: c.By, Why: c.Why, At: v.Now, Urgent: c.Urgent, Within: c.Within.Milliseconds()}
+	if c.Until > 0 {
+		a.Until = v.Now + c.Until.Milliseconds()
+	}
+	for _, node := range nodes {
+		if was, asked := v.Asks[node]; asked && was.Failed == "" {
+			fmt.Printf("%s: asked for already, by %s: %s\n", node, was.By, was.Why)
+			continue
+		}
+		a.ID = rand.Text()
+		key := permit.AskKey(node)
+		if _, err := setIf(ask, c.reason, key, v.at[key], permit.Text(a)); err != nil {
+			return fmt.Errorf("%s: %w", node, err)
+		}
+		fmt.Printf("%s: asked for; \"fleet outs\" says when it is out, and what it waits for\n", node)
+	}
+	return nil
+}
+
+type fleetUndrainCmd struct {
+	Nodes []string `arg:"" help:"The nodes' names, zone=Z for all nodes of a zone, or server=ADDRESS for a server below."`
+	reason
+}
+
+func (c *fleetUndrainCmd) Run(_ *slog.Logger) error {
+	ask := cli.Fleet.client()
+	v, err := look(ask)
+	if err != nil {
+		return err
+	}
+	nodes, err := named(v, c.Nodes)
+	if err != nil {
+		return err
+	}
+	for _, node := range nodes {
+		key := permit.AskKey(node)
+		if _, asked := v.Asks[node]; !asked {
+			fmt.Printf("%s: nobody asked for it\n", node)
+			continue
+		}
+		if _, err := setIf(ask, c.reason, key, v.at[key], ""); err != nil {
+			return fmt.Errorf("%s: %w", node, err)
+		}
+		fmt.Printf("%s: taken back\n", node)
+	}
+	return nil
+}
+
+type fleetHaltCmd struct {
+	Release string `help:"Halt only what this release does; without it, everything voluntary."`
+	reason
+}
+
+// Run halts, and returns once nothing can begin any more, however late a process wakes up.
+func (c *fleetHaltCmd) Run(_ *slog.Logger) error {
+	return halt(cli.Fleet.client(), cmp.Or(c.Release, permit.All), c.reason)
+}
+
+func halt(ask store.Client, what string, r reason) error {
+	if strings.Contains(what, "/") {
+		return fmt.Errorf("release %q: a name without slashes is wanted", what)
+	}
+	open, err := fleet.Halt(ask, what, r.By, r.Why)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("halted: nothing of it begins any more. Permits: %d; who is out stays out, or comes back when what asked for it is taken back\n", open)
+	return nil
+}
+
+type fleetResumeCmd struct {
+	Release string `help:"Let this release go on; without it, everything."`
+	reason
+}
+
+func (c *fleetResumeCmd) Run(_ *slog.Logger) error {
+	return resume(cli.Fleet.client(), cmp.Or(c.Release, permit.All), c.reason)
+}
+
+func resume(ask store.Client, what string, r reason) error {
+	was, _, err := ask.Document(permit.Halts+what, false)
+	if err != nil {
+		return err
+	}
+	if was.Version == 0 {
+		fmt.Println("it is not halted")
+		return nil
+	}
+	r.Why = "resume " + what + ": " + r.Why
+	made, err := setIf(ask, r, was.Key, was.Version, "")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("revision %d: it goes on\n", made.Revision)
+	return nil
+}
+
+type fleetOutsCmd struct{}
+
+// Run shows who is out, who waits, and for what.
+func (fleetOutsCmd) Run(_ *slog.Logger) error {
+	v, err := look(cli.Fleet.client())
+	if err != nil {
+		return err
+	}
+	fmt.Println(since(v.seen))
+	for _, what := range slices.Sorted(maps.Keys(v.Halted)) {
+		fmt.Printf("HALTED: %s\n", what)
+	}
+	refused := map[string]budget.Refusal{}
+	step := (&permit.Keeper{Terms: store.Terms}).Decide(v.View, 0)
+	for _, r := range step.Refused {
+		refused[r.Ask.Member] = r
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NODE\tZONE\tCOUNTS AS\tPERMIT\tHELD\tASKED BY\tWHY\tWAITS FOR")
+	for _, m := range v.Counted(0) {
+		a, asked := v.Asks[m.Name]
+		p, permitted := v.Permits[m.Name]
+		if m.Out == budget.In && !asked {
+			continue
+		}
+		held, waits := "", ""
+		if i := slices.IndexFunc(v.Members, func(s permit.Seen) bool { return s.Name == m.Name }); i >= 0 && permitted {
+			r := v.Members[i].Report
+			held = fmt.Sprint(r.Running + r.Held)
+			if r.Overdue {
+				held += ", longer than it was to take"
+			}
+			if m := v.Members[i]; m.Service != "" {
+				held = agreed(m)
+			}
+		}
+		if r, no := refused[m.Name]; no {
+			waits = strings.TrimPrefix(r.String(), m.Name+": ")
+		}
+		if a.Failed != "" {
+			waits = "failed: " + a.Failed
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.Labels["zone"], m.Out, p.State, held, a.By, a.Why, waits)
+	}
+	return w.Flush()
+}
+
+// agreed says whether a server below is out on every node's word.
+func agreed(m permit.Seen) string {
+	ok, open, silent := m.Agreed()
+	if ok {
+		return "out, on every node's word"
+	}
+	var text []string
+	if len(open) > 0 {
+		text = append(text, "still used by "+strings.Join(open, ", "))
+	}
+	if len(silent) > 0 {
+		text = append(text, "silent: "+strings.Join(silent, ", "))
+	}
+	return strings.Join(text, "; ")
+}
--- /dev/null
+++ b/cmd/sloehitch/drain_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sloehitch/internal/config"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/standin"
+)
+
+// TestDrainsByHand: as an operator would, with a whole node: nothing without a budget, the node out and back, a server below out on the
+// node's word and back, a halt.
+func TestDrainsByHand(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	first := standin.NewServer(t, func(string) string { return "HTTP/1.1 200 OK\r\n\r\nfirst" })
+	second := standin.NewServer(t, func(string) string { return "HTTP/1.1 200 OK\r\n\r\nsecond" })
+	admin := standin.Free(t)
+	s := serveDeployed(t, limits.For(64, 256), ample, rt, func(d *config.Deploy) {
+		d.Store = config.Store{Admin: admin, Span: "1s"}
+		d.Fleet = config.Fleet{Members: []string{admin}, Report: "100ms", Silent: "30s", LeaseSpan: "1s", Settle: "100ms", Zone: "a"}
+	}, first.Address, second.Address)
+	t.Cleanup(s.apart)
+	run := func(args string, more ...string) (out, errs string) {
+		t.Helper()
+		var o, e strings.Builder
+		cmd := command(append(strings.Fields(args), more...)...)
+		cmd.Stdout, cmd.Stderr = &o, &e
+		_ = cmd.Run() // what it says is looked at
+		return o.String(), e.String()
+	}
+	fleet := "fleet --admin " + admin + " "
+	budgets := filepath.Join(t.TempDir(), "budgets.toml")
+	set := func(text, want string) {
+		t.Helper()
+		if err := os.WriteFile(budgets, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if out, errs := run(fleet+"budget --by me --why test --file", budgets); !strings.Contains(out+errs, want) {
+			t.Errorf("budgets: %s%s, want %q", out, errs, want)
+		}
+	}
+	see := func(want string) {
+		t.Helper()
+		standin.WaitFor(t, want, func() bool {
+			out, _ := run(fleet + "outs")
+			return strings.Contains(out, want)
+		})
+	}
+	standin.WaitFor(t, "the node's report", func() bool {
+		out, _ := run(fleet + "show node/")
+		return strings.Contains(out, `"below":{`)
+	})
+	if out, errs := run(fleet + "drain n9 --by me --why test"); !strings.Contains(errs, "no such node has reported") {
+		t.Errorf("%s%s", out, errs)
+	}
+	set("[[budget]]\ngroup = \"rack\"\nmost_out = 1\n", "write one of fleet, zone, kind, service")
+	run(fleet + "drain n1 --by me --why test")
+	see("no budget bounds a group of it; set one first")
+	set("[[budget]]\ngroup = \"fleet\"\nmost_out = 1\n[[budget]]\ngroup = \"service\"\nmost_out = 1\n", "2 budgets")
+	health := func(want string) {
+		t.Helper()
+		b := standin.Dial(t, s.address)
+		standin.WaitFor(t, want, func() bool {
+			b.Send(standin.Array("PING", "1", ""))
+			got := b.Read()
+			return len(got) > 1 && got[1] == want
+		})
+	}
+	health("RED")
+	see("out ")
+	run(fleet + "undrain n1 --by me --why test")
+	health("GREEN")
+	standin.WaitFor(t, "the permit to go back", func() bool {
+		out, _ := run(fleet + "show out/")
+		return !strings.Contains(out, "out/")
+	})
+	server := "server=" + first.Address
+	run(fleet + "drain " + server + " --by me --why test")
+	see("out, on every node's word")
+	for range 8 {
+		if got := ask(t, s.uwsgi, "", get("/slots")...); !strings.HasSuffix(got, "second") {
+			t.Errorf("while the first server is out: %q", got)
+		}
+	}
+	if out, errs := run(fleet + "halt --by me --why test"); !strings.Contains(out, "halted: nothing of it begins any more. Permits: 1") {
+		t.Errorf("%s%s", out, errs)
+	}
+	run(fleet + "drain n1 --by me --why test")
+	see("HALTED: all")
+	see("halted")
+	run(fleet + "undrain n1 " + server + " --by me --why test")
+	standin.WaitFor(t, "the first server to be used again", func() bool {
+		out, _ := run(fleet + "show node/")
+		return strings.Contains(out, fmt.Sprintf(`%q:{"uses":true`, first.Address))
+	})
+	if out, errs := run("release --admin " + admin + " plan r --to v2"); !strings.Contains(out, "wave 1: n1\n") || strings.Contains(out, "server:") {
+		t.Errorf("%s%s", out, errs)
+	}
+	if out, errs := run("release --admin " + admin + " watch"); !strings.Contains(errs, "there is no release") {
+		t.Errorf("%s%s", out, errs)
+	}
+}
--- /dev/null
+++ b/cmd/sloehitch/fleet.go
@@ -0,0 +1,390 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"sloehitch/internal/clock"
+	"sloehitch/internal/desired"
+	"sloehitch/internal/document"
+	"sloehitch/internal/duty"
+	"sloehitch/internal/fleet"
+	"sloehitch/internal/lease"
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/ledger/disk"
+	"sloehitch/internal/limits"
+	"sloehitch/internal/quorum"
+	"sloehitch/internal/store"
+)
+
+// fleetCmd is what operators ask of the store on behalf of the whole fleet.
+type fleetCmd struct {
+	Admin   string          `help:"Address that a member of the store has for operators." required:""`
+	Status  fleetStatusCmd  `cmd:"" help:"What is wrong in the fleet, and what to do next; exits with 1 if anything is."`
+	Owners  fleetOwnersCmd  `cmd:"" help:"Who holds which duty, under which token, and for how long."`
+	History fleetHistoryCmd `cmd:"" help:"What changed last: when, by whom, why."`
+	Show    fleetShowCmd    `cmd:"" help:"Print documents with their versions."`
+	Put     fleetPutCmd     `cmd:"" help:"Set or delete a document, if it still has the version that was seen."`
+	Want    fleetWantCmd    `cmd:"" help:"Say that a node is to be out of service, or in it; the node pulls that by itself."`
+	Budget  fleetBudgetCmd  `cmd:"" help:"Show or set how many may be out at once."`
+	Drain   fleetDrainCmd   `cmd:"" help:"Ask that nodes go out of service as soon as the budgets permit it."`
+	Undrain fleetUndrainCmd `cmd:"" help:"Take that back: they come into service again."`
+	Outs    fleetOutsCmd    `cmd:"" help:"Who is out or waits to go out, and for what."`
+	Halt    fleetHaltCmd    `cmd:"" help:"Have nothing go out by choice any more; returns once that holds everywhere."`
+	Resume  fleetResumeCmd  `cmd:"" help:"Let it go on."`
+	Members membersCmd      `cmd:"" help:"Who keeps the store; add, promote, remove, lead."`
+	Backup  fleetBackupCmd  `cmd:"" help:"Write all that the store keeps to a file, confirmed by a majority."`
+	Restore fleetRestoreCmd `cmd:"" help:"Have all members go back to a backup."`
+}
+
+func (c *fleetCmd) client() store.Client {
+	state := stateCmd{Admin: c.Admin}
+	return state.client()
+}
+
+// since says how far what was read can be trusted.
+func since(s store.Seen) string {
+	switch {
+	case s.Confirmed:
+		return fmt.Sprintf("revision %d, confirmed by a majority", s.Revision)
+	case s.AgeMS < 0:
+		return fmt.Sprintf("revision %d; this member has not heard of a leader since its start: ask another", s.Revision)
+	}
+	return fmt.Sprintf("revision %d, as this member had it up to %v ago", s.Revision, time.Duration(s.AgeMS)*time.Millisecond)
+}
+
+type fleetStatusCmd struct{}
+
+// nodeReport is what a node tells of itself, as far as it is shown.
+type nodeReport struct {
+	State   string `json:"state"`
+	Version string `json:"version"`
+	Since   int64  `json:"since"`
+	Running int    `json:"running"`
+	Held    int    `json:"held"`
+	Well    bool   `json:"well"`
+}
+
+func (fleetStatusCmd) Run(_ *slog.Logger) error {
+	c := cli.Fleet.client()
+	docs, seen, err := c.Documents("", false)
+	var wrong []string
+	if err != nil {
+		if docs, seen, err = c.Documents("", true); err != nil {
+			return fmt.Errorf("%w; ask another member of the store", err)
+		}
+		wrong = append(wrong, "no majority of the store's members confirms what is read: nothing can be changed. Start the members that are down, or mend the links between them")
+	}
+	owners, _, err := c.Owners()
+	if err != nil {
+		return err
+	}
+	wrong = append(wrong, wrongMembers(c)...)
+	fmt.Println(since(seen))
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NODE\tSTATE\tVERSION\tSINCE\tRUNNING\tHELD")
+	for _, d := range docs {
+		switch kind, name, _ := strings.Cut(d.Key, "/"); kind {
+		case "node":
+			var r nodeReport
+			if err := json.Unmarshal([]byte(d.Value), &r); err != nil {
+				wrong = append(wrong, fmt.Sprintf("node %s: its report can't be read: %v", name, err))
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", name, r.State, r.Version, time.UnixMilli(r.Since).UTC().Format(time.RFC3339), r.Running, r.Held)
+			if !r.Well && r.State == "ready" {
+				wrong = append(wrong, fmt.Sprintf("node %s serves but is not well: its callers are sent away; see \"Which limit binds?\" in docs/operators/deployment.md", name))
+			}
+		case "silent":
+			var m struct {
+				By    string `json:"by"`
+				Since int64  `json:"since"`
+			}
+			if err := json.Unmarshal([]byte(d.Value), &m); err == nil {
+				wrong = append(wrong, fmt.Sprintf("node %s is silent since %s (marked by %s): see whether its process runs and reaches the store. It may serve all the same", name, time.UnixMilli(m.Since).UTC().Format(time.RFC3339), m.By))
+			}
+		case "duty":
+			var r duty.Record
+			if err := json.Unmarshal([]byte(d.Value), &r); err == nil && r.State == duty.Failed {
+				wrong = append(wrong, fmt.Sprintf("duty %s: job %s failed at step %d, %d times: %s. The next span of time begins a new job", name, r.Job, r.Step, r.Tries, r.Why))
+			}
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, o := range owners {
+		if o.Holder != "" && o.LeftMS == 0 {
+			wrong = append(wrong, fmt.Sprintf("duty %s: %s let its lease lapse, and nobody has asked since: see whether any node with [fleet] reaches the store", o.Duty, o.Holder))
+		}
+	}
+	if len(wrong) == 0 {
+		fmt.Println("nothing is wrong")
+		return nil
+	}
+	for _, x := range wrong {
+		fmt.Println("WRONG:", x)
+	}
+	return exitCode(1)
+}
+
+// quiet is for how long a member may go unheard before it counts as wrong: several beats.
+const quiet = 5 * time.Second
+
+// wrongMembers is what is wrong with who keeps the store, and what to do next.
+func wrongMembers(c store.Client) (wrong []string) {
+	if m, err := c.Members(true); err == nil && m.Out != "" {
+		wrong = append(wrong, fmt.Sprintf("member %s takes no part in the store: %s", m.Self, m.Out))
+	}
+	m, err := c.Members(false)
+	if err != nil {
+		return wrong // that there is no leader is told already
+	}
+	voters, there := 0, 0
+	for _, x := range m.Members {
+		if !x.Voter {
+			wrong = append(wrong, fmt.Sprintf("member %s learns and has no vote: \"fleet members promote %s\" once it has caught up (%d entries behind)", x.Name, x.Name, x.Behind))
+			continue
+		}
+		if voters++; x.Leader || x.Heard >= 0 && x.Heard < quiet {
+			there++
+			continue
+		}
+		wrong = append(wrong, fmt.Sprintf("member %s has not answered the leader lately: start it or mend its links; \"fleet --admin ITS-ADDRESS members --local\" says whether it is kept out, and why", x.Name))
+	}
+	if voters > 1 && there == quorum.Majority(voters) {
+		wrong = append(wrong, fmt.Sprintf("%d of %d voters are there: if one more is lost nothing can be changed", there, voters))
+	}
+	if voters%2 == 0 && voters > 0 {
+		wrong = append(wrong, fmt.Sprintf("%d voters bear no more losses than %d: promote one more or remove one", voters, voters-1))
+	}
+	return wrong
+}
+
+type fleetOwnersCmd struct{}
+
+func (fleetOwnersCmd) Run(_ *slog.Logger) error {
+	owners, seen, err := cli.Fleet.client().Owners()
+	if err != nil {
+		return err
+	}
+	fmt.Println(since(seen))
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DUTY\tHOLDER\tTOKEN\tSTATE")
+	for _, o := range owners {
+		state := fmt.Sprintf("held, %v left", time.Duration(o.LeftMS)*time.Millisecond)
+		switch {
+		case o.Holder == "":
+			state = "given back: free"
+		case o.LeftMS == 0:
+			state = "lapsed: free to whoever asks; its writes are turned away once another has it"
+		case o.Next != "":
+			state = "being handed over to " + o.Next
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", o.Duty, o.Holder, o.Token, state)
+	}
+	return w.Flush()
+}
+
+type fleetHistoryCmd struct {
+	After uint64 `help:"Only what changed after this revision."`
+}
+
+func (c *fleetHistoryCmd) Run(_ *slog.Logger) error {
+	changes, seen, forgotten, err := cli.Fleet.client().Changes("", c.After, 0)
+	if err != nil {
+		return err
+	}
+	if forgotten && c.After == 0 {
+		fmt.Printf("changes up to revision %d are no longer remembered\n", seen.From)
+		if changes, seen, forgotten, err = cli.Fleet.client().Changes("", seen.From, 0); err != nil {
+			return err
+		}
+	}
+	if forgotten {
+		return fmt.Errorf("not all changes after revision %d are remembered: ask after %d to %d", c.After, seen.From, seen.Revision)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REVISION\tWHEN\tBY\tWHAT\tWHY")
+	for _, x := range changes {
+		what := fmt.Sprintf("%s = %.60q", x.Key, x.Value)
+		switch {
+		case x.Lease != nil:
+			what = fmt.Sprintf("duty %s: %s, token %d", x.Lease.Duty, x.Lease.Holder, x.Lease.Token)
+		case x.Deleted:
+			what = x.Key + " deleted"
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", x.Revision, time.UnixMilli(x.At).UTC().Format(time.RFC3339), x.By, what, x.Why)
+	}
+	return w.Flush()
+}
+
+type fleetShowCmd struct {
+	Prefix string `arg:"" optional:"" help:"Only documents whose keys begin so."`
+	Local  bool   `help:"As the member asked has them, without asking the others: works without a majority."`
+}
+
+func (c *fleetShowCmd) Run(_ *slog.Logger) error {
+	docs, seen, err := cli.Fleet.client().Documents(c.Prefix, c.Local)
+	if err != nil {
+		return fmt.Errorf("%w; --local shows what this member has", err)
+	}
+	fmt.Println(since(seen))
+	for _, d := range docs {
+		fmt.Printf("%s\t%d\t%s\n", d.Key, d.Version, d.Value)
+	}
+	return nil
+}
+
+type fleetPutCmd struct {
+	Key     string `arg:"" help:"The document's key."`
+	Value   string `arg:"" optional:"" help:"Its new value."`
+	Delete  bool   `help:"Delete it."`
+	Version uint64 `help:"The version that it must still have; 0: it must not be there." required:""`
+	By      string `help:"Who changes it." env:"USER" required:""`
+	Why     string `help:"Why; kept in the history." required:""`
+	ID      string `help:"Of this request: asked again under the same one, it is made once."`
+}
+
+func (c *fleetPutCmd) Run(_ *slog.Logger) error {
+	if c.Delete && c.Value != "" {
+		return errors.New("a document is deleted or given a value, not both")
+	}
+	if c.ID == "" {
+		c.ID = rand.Text()
+	}
+	r, err := cli.Fleet.client().Make(document.Transaction{ID: c.ID, By: c.By, Why: c.Why,
+		If: []document.Condition{{Key: c.Key, Version: c.Version}}, Do: []document.Operation{{Key: c.Key, Value: c.Value, Delete: c.Delete}}})
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return err
+	case err != nil:
+		return fmt.Errorf("%w; if it may have been made, ask again with --id %s", err, c.ID)
+	}
+	fmt.Printf("revision %d\n", r.Revision)
+	return nil
+}
+
+// setIf sets a document that still has a version, or deletes it where the value is empty.
+func setIf(ask store.Client, r reason, key string, version uint64, value string) (document.Result, error) {
+	return ask.Make(document.Transaction{ID: rand.Text(), By: r.By, Why: r.Why, If: []document.Condition{{Key: key, Version: version}},
+		Do: []document.Operation{{Key: key, Value: value, Delete: value == ""}}})
+}
+
+type fleetWantCmd struct {
+	Node  string `arg:"" help:"The node's name."`
+	State string `arg:"" enum:"in,out" help:"in or out (of service)."`
+	reason
+}
+
+func (c *fleetWantCmd) Run(_ *slog.Logger) error {
+	if c.Node == "" || strings.Contains(c.Node, "/") {
+		return fmt.Errorf("node %q: a name without slashes is wanted", c.Node)
+	}
+	ask := cli.Fleet.client()
+	key := desired.Prefix + c.Node
+	was, _, err := ask.Document(key, false)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(desired.State{Out: c.State == "out", By: c.By, Why: c.Why})
+	if err != nil { // strings always marshal
+		panic(err)
+	}
+	r, err := setIf(ask, c.reason, key, was.Version, string(text))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("revision %d; \"fleet show node/%s\" tells when the node has applied it\n", r.Revision, c.Node)
+	return nil
+}
+
+// startFleet has this node take part in the fleet, where our settings say so. It never holds up the node: its end is asked
+// for at the notice to leave, and waited for by nobody.
+func (d *daemon) startFleet(l *loaded) error {
+	c := l.deploy.Fleet
+	if len(c.Members) == 0 {
+		return nil
+	}
+	spans, err := c.Spans()
+	if err != nil {
+		return err
+	}
+	o := fleet.Options{Name: d.name, Version: version, Members: c.Members, Every: spans.Report, Silent: spans.Silent, Timeout: min(d.limits.Agree, spans.Lease/4),
+		Pause: spans.Lease / 10, Terms: store.Terms.Of(spans.Lease), State: d.ofFleet,
+		Clock: d.trial.Clock(lease.Now), Now: d.trial.Now, Tell: d.trial.Tell, Dir: c.Backups, Keep: c.Keep, Log: d.log}
+	if o.Dir != "" {
+		o.Each = spans.Each
+	}
+	if o.Keep == 0 {
+		o.Keep = 24
+	}
+	if c.Dir != "" {
+		dir, err := disk.MakeDir(c.Dir)
+		if err != nil {
+			return fmt.Errorf("fleet: dir: %w", err)
+		}
+		if o.Memory, err = ledger.Open(d.trial.Disk(dir), ledger.Options{Limits: limits.ForLedger(1 << 20), Log: d.log}); err != nil {
+			return fmt.Errorf("fleet: dir: %w", err)
+		}
+	}
+	o.Apply = func(s desired.State) {
+		d.unwanted.Store(s.Out)
+		d.outOfService()
+	}
+	o.Outs, err = d.outs(c, spans)
+	if err != nil {
+		if o.Memory != nil {
+			err = errors.Join(err, o.Memory.Close())
+		}
+		return err
+	}
+	f, err := fleet.New(o)
+	if err != nil {
+		if o.Memory != nil {
+			err = errors.Join(err, o.Memory.Close())
+		}
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.apart = cancel
+	go func() {
+		f.Serve(ctx)
+		if o.Memory != nil {
+			_ = o.Memory.Close() // each write was flushed before it was acknowledged
+		}
+	}()
+	return nil
+}
+
+// ofFleet is what the node tells of itself.
+func (d *daemon) ofFleet() map[string]any {
+	state := "ready"
+	switch {
+	case d.leaving.Load():
+		state = "leaving"
+	case d.evacuated.Load() || d.away():
+		state = "out of service"
+	case !d.ready.Load():
+		state = "starting"
+	}
+	running, held := d.node.Hand()
+	told := map[string]any{"state": state, "well": d.gate.Well(), "running": running, "held": held}
+	var served, refused, failed int
+	for _, c := range d.node.Classes() {
+		served, refused, failed = served+c.Served, refused+c.Refused, failed+c.Failed
+	}
+	if p99 := d.took.Quantile(0.99, clock.System{}.Now()); p99 > 0 {
+		told["p99_ms"] = float64(p99) / float64(time.Millisecond)
+	}
+	told["served"], told["refused"], told["errors"] = served, refused, failed
+	return told
+}
--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -33,10 +33,18 @@
 	State    stateCmd    `cmd:"" help:"Show or change the operators' state, on all members of the store."`
 	Ledger   ledgerCmd   `cmd:"" help:"Look into a ledger's folder, check it, copy it, mend it."`
 	Ops      opsCmd      `cmd:"" help:"Make an operators' call to a running daemon: readyz, telemetry, evacuate or activate."`
+	Fleet    fleetCmd    `cmd:"" help:"Look at and change what the whole fleet agrees on: duties and their owners, documents, history."`
+	Release  releaseCmd  `cmd:"" help:"Take another release through the fleet in steps, with a halt and a way back."`
+	Store    storeCmd    `cmd:"" help:"Look into the folder of a member of the store that does not run; go on from it after a majority was lost."`
 	Handover handoverCmd `cmd:"" help:"Look at what a process leaves for the one that replaces it."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
 }
 
+// serving is the grammar of the one command that runs for long: that of all of them would stay in memory beside it.
+var serving struct {
+	Serve serveCmd `cmd:"" help:"Serve until told to stop."`
+}
+
 type opsCmd struct {
 	Address string        `help:"The daemon's ops address." env:"GW_OPS" required:""`
 	Timeout time.Duration `help:"How long to wait for the whole answer." default:"2s"`
@@ -175,7 +183,11 @@
 
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	ctx := kong.Parse(&cli, kong.Name("sloehitch"), kong.Bind(log),
+	grammar := any(&cli)
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		grammar = &serving
+	}
+	ctx := kong.Parse(grammar, kong.Name("sloehitch"), kong.Bind(log),
 		kong.Description("Decides on a server which requests run, wait or are refused."))
 	err := ctx.Run(log)
 	var code exitCode
--- /dev/null
+++ b/cmd/sloehitch/members.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"sloehitch/internal/quorum"
+	"sloehitch/internal/store"
+)
+
+// membersCmd shows and changes who keeps the store.
+type membersCmd struct {
+	List    membersListCmd   `cmd:"" default:"withargs" help:"Who keeps the store, as its leader sees them."`
+	Add     membersAddCmd    `cmd:"" help:"Have a member learn: it gets all that is kept, and has no vote yet. Its own settings say join = true."`
+	Promote membersChangeCmd `cmd:"" help:"Give a member that has caught up a vote."`
+	Remove  membersChangeCmd `cmd:"" help:"Take a member out; refused where the others would have no majority."`
+	Lead    membersChangeCmd `cmd:"" help:"Give a member the lead."`
+}
+
+type membersListCmd struct {
+	Local bool `help:"As the member asked sees them; it also says why it takes no part, if so."`
+}
+
+func (c *membersListCmd) Run(_ *slog.Logger) error {
+	m, err := cli.Fleet.client().Members(c.Local)
+	if err != nil {
+		return fmt.Errorf("%w; --local shows what this member knows", err)
+	}
+	return printMembers(m)
+}
+
+func printMembers(m store.Membership) error {
+	if m.Out != "" {
+		fmt.Printf("%s takes no part: %s\n", m.Self, m.Out)
+		return nil
+	}
+	if len(m.Members) == 0 {
+		fmt.Println("one process keeps the store by itself")
+		return nil
+	}
+	fmt.Printf("store %s, as %s sees it; leader %s\n", m.Store, m.Self, m.Leader)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tPART\tHEARD\tBEHIND\tRAFT\tADMIN")
+	for _, x := range m.Members {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", x.Name, partOf(x), heardOf(x, m), behindOf(x, m), x.Raft, x.Admin)
+	}
+	return w.Flush()
+}
+
+func partOf(m quorum.Member) string {
+	switch {
+	case m.Leader:
+		return "leads"
+	case m.Voter:
+		return "votes"
+	}
+	return "learns"
+}
+
+func heardOf(x quorum.Member, m store.Membership) string {
+	switch {
+	case m.Self != m.Leader:
+		return "?"
+	case x.Leader:
+		return "-"
+	case x.Heard < 0:
+		return "never"
+	}
+	return x.Heard.Round(time.Millisecond).String() + " ago"
+}
+
+func behindOf(x quorum.Member, m store.Membership) string {
+	if m.Self != m.Leader {
+		return "?"
+	}
+	return fmt.Sprint(x.Behind)
+}
+
+// reason is who asks for something, and why; it is kept in the history.
+type reason struct {
+	By  string `help:"Who asks." env:"USER" required:""`
+	Why string `help:"Why; kept in the history." required:""`
+}
+
+type membersAddCmd struct {
+	Name        string `arg:"" help:"The member's name, as its own configuration has it."`
+	Raft        string `help:"Where the other members reach it." required:""`
+	MemberAdmin string `help:"Where operators reach it." required:""`
+	reason
+}
+
+func (c *membersAddCmd) Run(_ *slog.Logger) error {
+	return changeMembers(store.Ask{Do: "add", Name: c.Name, Raft: c.Raft, Admin: c.MemberAdmin, By: c.By, Why: c.Why})
+}
+
+type membersChangeCmd struct {
+	Name string `arg:"" help:"The member's name."`
+	reason
+}
+
+func (c *membersChangeCmd) run(do string) error {
+	return changeMembers(store.Ask{Do: do, Name: c.Name, By: c.By, Why: c.Why})
+}
+
+// Run is told by which command it came.
+func (c *membersChangeCmd) Run(_ *slog.Logger) error {
+	m := &cli.Fleet.Members
+	switch c {
+	case &m.Promote:
+		return c.run("promote")
+	case &m.Remove:
+		return c.run("remove")
+	}
+	return c.run("lead")
+}
+
+func changeMembers(a store.Ask) error {
+	m, err := cli.Fleet.client().Change(a)
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		return fmt.Errorf("%w; asked again it is made once", err)
+	}
+	if err != nil {
+		return err
+	}
+	return printMembers(m)
+}
+
+type fleetBackupCmd struct {
+	File string `arg:"" help:"Where the backup goes; it must not be there yet." type:"path"`
+}
+
+func (c *fleetBackupCmd) Run(_ *slog.Logger) (err error) {
+	f, err := os.OpenFile(c.File, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return err
+	}
+	if err = errors.Join(cli.Fleet.client().Backup(f), f.Sync(), f.Close()); err != nil {
+		return errors.Join(err, os.Remove(c.File)) // part of a backup is none
+	}
+	return nil
+}
+
+type fleetRestoreCmd struct {
+	File string `arg:"" help:"A backup." type:"existingfile"`
+	reason
+}
+
+func (c *fleetRestoreCmd) Run(_ *slog.Logger) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	seen, err := cli.Fleet.client().Restore(text, c.By, c.Why)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("restored; the store goes on from revision %d. What was changed since the backup is gone; nobody holds a duty, and each is granted again after a lease\n", seen.Revision)
+	return nil
+}
+
+// storeCmd is for the folder of a member that does not run.
+type storeCmd struct {
+	Folder  storeFolderCmd  `cmd:"" help:"Whose folder it is, and how far it goes."`
+	Recover storeRecoverCmd `cmd:"" help:"A majority of members is lost for good: have this member go on alone from its folder. Read docs/operators/fleet.md first."`
+}
+
+type storeFolderCmd struct {
+	Dir  string `arg:"" help:"The member's folder (dir)." type:"existingdir"`
+	Name string `help:"The member's name." required:""`
+}
+
+func (c *storeFolderCmd) Run(log *slog.Logger) error {
+	f, err := store.Inspect(c.Dir, c.Name, log)
+	if err != nil {
+		return err
+	}
+	fmt.Println(folderText(f))
+	return nil
+}
+
+func folderText(f store.Folder) string {
+	line := fmt.Sprintf("member %s of the store %s, one of %d voters; it goes to %v", f.Name, f.Store, f.Voters, f.Mark)
+	if f.Out != "" {
+		line += "; it was kept out: " + f.Out
+	}
+	return line
+}
+
+type storeRecoverCmd struct {
+	Dir         string `arg:"" help:"The member's folder (dir)." type:"existingdir"`
+	Name        string `help:"The member's name." required:""`
+	Raft        string `help:"Where other members will reach it." required:""`
+	LoseTheRest bool   `help:"Say that you know: what only the lost members had is lost, and none of them may come back with its folder."`
+}
+
+func (c *storeRecoverCmd) Run(log *slog.Logger) error {
+	f, err := store.Inspect(c.Dir, c.Name, log)
+	if err != nil {
+		return err
+	}
+	if !c.LoseTheRest {
+		return fmt.Errorf("%s. Nothing was done. Compare the folders of all members that are left, take the one whose last entry is of the highest term, and of the highest number in it, keep a copy of it, and repeat this on that one only with --lose-the-rest", folderText(f))
+	}
+	if _, err := store.Recover(c.Dir, store.Member{Name: c.Name, Raft: c.Raft}, log); err != nil {
+		return err
+	}
+	fmt.Printf("was: %s\nnow: member %s alone, of a new store. Start it; then empty the folder of each other member, set join = true there, and add and promote it\n", folderText(f), c.Name)
+	return nil
+}
--- /dev/null
+++ b/cmd/sloehitch/members_test.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/standin"
+	"sloehitch/internal/store"
+)
+
+// TestMembersCommands tries the commands about members, backups and folders as a person would, against two members.
+func TestMembersCommands(t *testing.T) {
+	dir := t.TempDir()
+	var members []store.Member
+	var admins []*httptest.Server
+	for _, name := range []string{"n0", "n1"} {
+		a := httptest.NewUnstartedServer(nil)
+		admins = append(admins, a)
+		members = append(members, store.Member{Name: name, Raft: standin.Free(t), Admin: a.Listener.Addr().String()})
+	}
+	var stores []*store.Store
+	for i, m := range members {
+		s, err := store.Open(store.Options{Name: m.Name, Members: members, Dir: filepath.Join(dir, m.Name), Timeout: 10 * time.Second, Beat: 500 * time.Millisecond, Log: standin.Quiet})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer s.Close()
+		stores = append(stores, s)
+		admins[i].Config.Handler = s.Handler()
+		admins[i].Start()
+		defer admins[i].Close()
+	}
+	leader := ""
+	standin.WaitFor(t, "a leader", func() bool {
+		m, known := stores[0].Leader()
+		leader = m.Name
+		return known && stores[0].Members().Store != "" && stores[1].Members().Store != ""
+	})
+	next := map[string]string{"n0": "n1", "n1": "n0"}[leader]
+	backup := filepath.Join(dir, "backup.json")
+	type try struct{ name, args, out, err string }
+	run := func(tries []try) {
+		t.Helper()
+		for _, c := range tries {
+			cmd := command(strings.Fields(strings.ReplaceAll(c.args, "BACKUP", backup))...)
+			var out, errs strings.Builder
+			cmd.Stdout, cmd.Stderr = &out, &errs
+			err := cmd.Run()
+			if (err == nil) != (c.err == "") || !strings.Contains(out.String(), c.out) || c.err != "exit" && !strings.Contains(errs.String(), c.err) {
+				t.Errorf("%s: %v\nout %s\nerr %s", c.name, err, out.String(), errs.String())
+			}
+		}
+	}
+	at := "fleet --admin " + members[0].Admin + " "
+	why := " --by ann --why trial"
+	standin.WaitFor(t, "the other to be heard", func() bool {
+		m, _ := store.Client{Address: members[0].Admin, Timeout: time.Second}.Members(false)
+		return len(m.Members) == 2 && m.Members[0].Heard >= 0 && m.Members[1].Heard >= 0
+	})
+	run([]try{
+		{"members", at + "members", leader + "      leads", ""},
+		{"members of one", "fleet --admin " + members[1].Admin + " members --local", "as n1 sees it; leader " + leader, ""},
+		{"status", at + "status", "WRONG: 2 voters bear no more losses than 1", "exit"},
+		{"a name with a slash", at + "members add n/2 --raft 127.0.0.1:1 --member-admin 127.0.0.1:2" + why, "", "a word without slashes"},
+		{"add", at + "members add n2 --raft 127.0.0.1:1 --member-admin 127.0.0.1:2" + why, "n2      learns  never", ""},
+		{"status of a learner", at + "status", "member n2 learns and has no vote", "exit"},
+		{"promote too soon", at + "members promote n2" + why, "", "n2 has not answered since this leader leads: it would have a vote and not use it"},
+		{"remove a learner", at + "members remove n2" + why, "votes", ""},
+		{"remove the leader", at + "members remove " + leader + why, "", "give the lead to another first"},
+		{"lead", at + "members lead " + next + why, "", ""},
+		{"no reason", at + "members remove n2 --by ann", "", "--why"},
+		{"put", at + "put a 1 --version 0" + why, "revision", ""},
+		{"backup", at + "backup BACKUP", "", ""},
+		{"backup over another", at + "backup BACKUP", "", "file exists"},
+		{"put later", at + "put b 1 --version 0" + why, "revision", ""},
+		{"restore", at + "restore BACKUP" + why, "restored; the store goes on from revision", ""},
+		{"what is left", at + "show a", "\t1\n", ""},
+		{"what came later", at + "put b 2 --version 0" + why, "revision", ""},
+		{"the history", at + "history", "restore: trial", ""},
+	})
+	for _, s := range stores {
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	folder := filepath.Join(dir, "n0")
+	if err := os.WriteFile(backup, []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run([]try{
+		{"a folder", "store folder " + folder + " --name n0", "member n0 of the store ", ""},
+		{"another's folder", "store folder " + folder + " --name n1", "", "the folder is member n0's"},
+		{"no folder", "store folder " + dir + " --name n0", "", "no member's folder"},
+		{"recover without knowing", "store recover " + folder + " --name n0 --raft " + members[0].Raft, "", "Nothing was done"},
+		{"recover", "store recover " + folder + " --name n0 --raft " + members[0].Raft + " --lose-the-rest", "now: member n0 alone, of a new store", ""},
+		{"recovered", "store folder " + folder + " --name n0", "one of 1 voters", ""},
+	})
+}
--- /dev/null
+++ b/cmd/sloehitch/release.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"sloehitch/internal/fleet"
+	"sloehitch/internal/permit"
+	"sloehitch/internal/release"
+	"sloehitch/internal/store"
+)
+
+// releaseCmd takes another release through the fleet, in steps.
+type releaseCmd struct {
+	Admin  string           `help:"Address that a member of the store has for operators." required:""`
+	Plan   releasePlanCmd   `cmd:"" help:"Show the waves that a release would go in, and what binds them; nothing is changed."`
+	Start  releaseStartCmd  `cmd:"" help:"Have it go through the fleet."`
+	Watch  releaseWatchCmd  `cmd:"" help:"How far releases are, until they are over or halted."`
+	Halt   releaseHaltCmd   `cmd:"" help:"Have nothing of it begin any more; returns once that holds everywhere."`
+	Resume releaseResumeCmd `cmd:"" help:"Let it go on."`
+	Back   releaseBackCmd   `cmd:"" help:"Have those changed go back to what they were, newest first, by the same budgets."`
+}
+
+func (c *releaseCmd) client() store.Client {
+	state := stateCmd{Admin: c.Admin}
+	return state.client()
+}
+
+// laid is a release as it would go.
+type laid struct {
+	Name   string        `arg:"" help:"The release's name."`
+	To     string        `help:"What nodes are to report as deployed." required:""`
+	Growth float64       `default:"2" help:"By which waves grow."`
+	Soak   time.Duration `default:"1m" help:"For which a wave is watched once all of it is back."`
+	Late   time.Duration `default:"10m" help:"In which a node should be back, from when it went out."`
+	Within time.Duration `default:"1m" help:"In which a node should be empty, once out."`
+}
+
+func (c *laid) lay(ask store.Client) (r release.Release, v outView, err error) {
+	if v, err = look(ask); err != nil {
+		return r, v, err
+	}
+	if c.Growth < 1 {
+		return r, v, fmt.Errorf("--growth %v: 1 or more is wanted", c.Growth)
+	}
+	r = release.Release{Name: c.Name, To: c.To, At: v.Now, State: release.Running, SoakMS: c.Soak.Milliseconds(), LateMS: c.Late.Milliseconds(), Within: c.Within.Milliseconds()}
+	r.Waves, r.From = release.Plan(v.Members, c.To, c.Growth)
+	return r, v, r.Check()
+}
+
+type releasePlanCmd struct{ laid }
+
+func (c *releasePlanCmd) Run(_ *slog.Logger) error {
+	r, v, err := c.lay(cli.Release.client())
+	if err != nil {
+		return err
+	}
+	showPlan(r, v)
+	return nil
+}
+
+// showPlan prints waves, budgets, how long it takes at the least, and which steps have no way back.
+func showPlan(r release.Release, v outView) {
+	for i, w := range r.Waves {
+		fmt.Printf("wave %d: %s\n", i+1, strings.Join(w, " "))
+	}
+	for _, rule := range v.Rules {
+		fmt.Println("budget:", permit.Text(rule))
+	}
+	if len(v.Rules) == 0 {
+		fmt.Println("no budget is set: nothing would begin; \"fleet budget --file\" sets them")
+	}
+	fmt.Printf("at the least %v of watching, beside what nodes take to empty, be replaced and warm up\n", time.Duration(len(r.Waves))*time.Duration(r.SoakMS)*time.Millisecond)
+	for _, w := range r.Waves {
+		for _, n := range w {
+			if r.From[n] == "" {
+				fmt.Printf("%s can't go back: it does not report what is deployed on it\n", n)
+			}
+		}
+	}
+}
+
+type releaseStartCmd struct {
+	laid
+	reason
+}
+
+func (c *releaseStartCmd) Run(_ *slog.Logger) error {
+	ask := cli.Release.client()
+	r, v, err := c.lay(ask)
+	if err != nil {
+		return err
+	}
+	r.By, r.Why = c.By, c.Why
+	if err := fleet.StartRelease(ask, r); err != nil {
+		return err
+	}
+	showPlan(r, v)
+	fmt.Println("begun; \"release watch\" tells how far it is")
+	return nil
+}
+
+type releaseWatchCmd struct {
+	Once bool `help:"Look once."`
+}
+
+func (c *releaseWatchCmd) Run(_ *slog.Logger) error {
+	ask := cli.Release.client()
+	last := ""
+	for {
+		v, err := look(ask)
+		if err != nil {
+			return err
+		}
+		docs, _, err := ask.Documents(release.Prefix, true)
+		if err != nil {
+			return err
+		}
+		lines, open, halted := "", false, false
+		for _, d := range docs {
+			var r release.Release
+			if err := json.Unmarshal([]byte(d.Value), &r); err != nil {
+				return fmt.Errorf("%s: %w", d.Key, err)
+			}
+			lines += release.Progress(r, v.View) + "\n"
+			mine := r.State == release.Running || r.State == release.Back
+			open = open || mine
+			halted = halted || mine && (v.Halted[r.Name] || v.Halted[permit.All])
+		}
+		if len(docs) == 0 {
+			return errors.New("there is no release")
+		}
+		if lines != last {
+			fmt.Print(lines)
+			last = lines
+		}
+		if halted {
+			fmt.Println("halted: \"release resume\" or \"release back\"")
+			return exitCode(1)
+		}
+		if c.Once || !open {
+			return nil
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+type releaseHaltCmd struct {
+	Name string `arg:"" help:"The release's name."`
+	reason
+}
+
+func (c *releaseHaltCmd) Run(_ *slog.Logger) error {
+	return halt(cli.Release.client(), c.Name, c.reason)
+}
+
+type releaseResumeCmd struct {
+	Name string `arg:"" help:"The release's name."`
+	reason
+}
+
+func (c *releaseResumeCmd) Run(_ *slog.Logger) error {
+	return resume(cli.Release.client(), c.Name, c.reason)
+}
+
+type releaseBackCmd struct {
+	Name string `arg:"" help:"The release's name."`
+	reason
+}
+
+func (c *releaseBackCmd) Run(_ *slog.Logger) error {
+	if err := fleet.BackRelease(cli.Release.client(), c.Name, c.By, c.Why); err != nil {
+		return err
+	}
+	fmt.Println("it goes back; \"release watch\" tells how far it is")
+	return nil
+}
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +30,8 @@
 	"sloehitch/internal/endpoint"
 	"sloehitch/internal/gate"
 	"sloehitch/internal/handover"
+	"sloehitch/internal/latency"
+	"sloehitch/internal/lease"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/metrics"
@@ -42,6 +45,7 @@
 	"sloehitch/internal/tandem"
 	"sloehitch/internal/tlskeys"
 	"sloehitch/internal/traces"
+	"sloehitch/internal/trial"
 	"sloehitch/internal/uwsgi"
 	"sloehitch/internal/uwsgi/choice"
 	"sloehitch/logic"
@@ -77,6 +81,7 @@
 	limits   limits.Limits
 	means    handover.Means // what this process takes of the node's; of the goroutine that runs
 	log      *slog.Logger
+	trial    *trial.Trial // nil but in a rig
 
 	gate      *gate.Gate
 	node      *node.Node
@@ -85,6 +90,13 @@
 	listeners listeners
 	pulse     *directory.Pulse
 	store     *store.Store
+	drained   atomic.Bool                     // out of service by the fleet's permission
+	took      *latency.Window                 // of served requests; nil without a fleet
+	serving   sync.Mutex                      // guards listed and alone
+	listed    []string                        // servers below that this node may have work for
+	alone     []string                        // of them those that are permitted to be out
+	replaced  chan int                        // the process is to end with this code: another takes its place
+	apart     func()                          // ends this node's part in the fleet; nil where it has none
 	metrics   atomic.Pointer[metrics.Metrics] // nil where they are off
 	traces    *traces.Traces                  // nil where they are off
 	ledger    atomic.Pointer[ledger.Store]    // nil where it is off, or the process that leaves still has it
@@ -96,6 +108,7 @@
 	servers   *uwsgi.Pool                     // nil where uwsgi is off
 	keys      []*tlskeys.Keys                 // of the uwsgi side
 	closed    atomic.Bool                     // out of service by the operators' word
+	unwanted  atomic.Bool                     // out of service by what the fleet wants of this node
 	evacuated atomic.Bool                     // emptied by the operators' call evacuate, until activate
 	ready     atomic.Bool                     // clients are taken
 	applied   atomic.Int64                    // configuration files taken over at SIGHUP
@@ -113,16 +126,22 @@
 // standing is what callers are told of the node: the module's word, and the operators'.
 type standing struct {
 	*gate.Gate
-	closed, evacuated *atomic.Bool
+	closed, evacuated, unwanted, drained *atomic.Bool
 }
 
 // Well is what health checks are to hear.
-func (s standing) Well() bool { return !s.closed.Load() && !s.evacuated.Load() && s.Gate.Well() }
+func (s standing) Well() bool {
+	return !s.closed.Load() && !s.evacuated.Load() && !s.unwanted.Load() && !s.drained.Load() && s.Gate.Well()
+}
 
 // start wires the parts and sets them going.
 func start(l *loaded, lim limits.Limits, log *slog.Logger) (*daemon, error) {
 	p := l.platform
-	d := &daemon{platform: p, name: p.Name, limits: lim, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4), freed: make(chan *ledger.Store),
+	part, err := trial.FromEnv()
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{platform: p, name: p.Name, limits: lim, trial: part, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4), replaced: make(chan int, 1), freed: make(chan *ledger.Store),
 		pulse: directory.New(p.Name, p.Lookup, lim, log)}
 	d.deploy.Store(l.deploy)
 	system := clock.System{}
@@ -133,7 +152,7 @@
 			Gauges: func(m gate.Gauges) { g.Tick(m) }})
 		gateOptions.Ask = d.link.Ask
 	}
-	g, err := gate.New(p.Logic, gateOptions)
+	g, err = gate.New(p.Logic, gateOptions)
 	if err != nil {
 		return nil, err
 	}
@@ -146,11 +165,15 @@
 	if options.Journal, err = d.openRecords(system); err != nil {
 		return nil, err
 	}
+	if len(l.deploy.Fleet.Members) > 0 {
+		d.took = latency.New(clock.System{}.Now())
+		options.Took = d.took.Add
+	}
 	d.node = node.New(options)
 	if err := d.restore(); err != nil { // before the first request is taken
 		return nil, err
 	}
-	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed, &d.evacuated}, Runner: d.link, Classes: p.Names.Classes,
+	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed, &d.evacuated, &d.unwanted, &d.drained}, Runner: d.link, Classes: p.Names.Classes,
 		Tenants: p.Names.Tenants, Unknown: d.node.Unknown, Limits: lim, Log: log})
 	if d.link != nil { // without a runtime nothing could run what balancers send
 		ln, err := d.clients(p.Listen)
@@ -163,7 +186,7 @@
 	if err := d.startUwsgi(l); err != nil {
 		return nil, err
 	}
-	if err := d.startStore(l); err != nil {
+	if err := errors.Join(d.startStore(l), d.startFleet(l)); err != nil {
 		return nil, err
 	}
 	if err := d.startMetrics(); err != nil {
@@ -265,6 +288,7 @@
 	rules := choice.Default()
 	rules.Most = u.ServerMost
 	d.servers = uwsgi.NewPool(uwsgi.PoolOptions{Rules: rules, Seed: seed(l.platform.Seed), Keys: below, Name: u.ServersTLS.Name, Over: d.runOver, Limits: d.limits, Log: d.log})
+	d.listed = slices.Clone(u.Servers)
 	if err := d.servers.Use(u.Servers); err != nil {
 		return err
 	}
@@ -275,7 +299,7 @@
 	}
 	classes := l.platform.Logic.Classes
 	d.uwsgi = uwsgi.New(uwsgi.Options{Over: over, Core: d.node, Mapper: l.operations, Pool: d.servers, Limits: d.limits, Log: d.log,
-		Safe: func(class int) bool { return classes[class].Effect == logic.Safe }, Well: func() bool { return !d.closed.Load() },
+		Safe: func(class int) bool { return classes[class].Effect == logic.Safe }, Well: func() bool { return !d.away() },
 		Modifiers: u.ModifierBytes(), Deadline: u.Deadline, HalfClose: u.HalfClose == "leaves", PerSource: u.PerSource, BodyMost: u.BodyMost()})
 	return d.serveOn("uwsgi", func() (net.Listener, error) { return at.Listen(mode, front) }, d.uwsgi.Serve)
 }
@@ -347,8 +371,13 @@
 // startStore opens this daemon's copy of the store, follows it and lets operators at it.
 func (d *daemon) startStore(l *loaded) (err error) {
 	c := l.deploy.Store
+	length, err := c.Lease()
+	if err != nil {
+		return err
+	}
 	d.store, err = store.Open(store.Options{Name: d.platform.Name, Members: c.Members, Dir: c.Dir, Timeout: d.limits.Agree,
-		Beat: d.limits.Beat, Log: d.log})
+		Beat: d.limits.Beat, Log: d.log, Terms: store.Terms.Of(length), Join: c.Join,
+		Clock: d.trial.Clock(lease.Now), Disk: d.trial.Disk, Tell: d.trial.Tell})
 	if err != nil {
 		return err
 	}
@@ -365,24 +394,42 @@
 	})
 }
 
+// away says whether this node is out of service: by the operators' state, by what the fleet wants of it, or by a permit.
+func (d *daemon) away() bool { return d.closed.Load() || d.unwanted.Load() || d.drained.Load() }
+
+// outOfService has the directory told whether this node takes callers.
+func (d *daemon) outOfService() {
+	d.pulse.Close(d.away() || d.leaving.Load() && !d.quiet.Load())
+}
+
 // follow does what a change of the store means here.
 func (d *daemon) follow(key, value string) {
 	switch key {
 	case store.Closed:
 		closed := slices.Contains(store.Items(value), d.name)
 		d.closed.Store(closed)
-		d.pulse.Close(closed || d.leaving.Load() && !d.quiet.Load())
+		d.outOfService()
 	case store.UwsgiServers:
-		if d.servers == nil {
-			return
-		}
-		addresses := store.Items(value)
-		if len(addresses) == 0 {
-			addresses = d.deploy.Load().Uwsgi.Servers
-		}
-		if err := d.servers.Use(addresses); err != nil {
-			d.log.Error("the uwsgi servers stay as they were", "error", err)
-		}
+		d.useServers(value)
+	}
+}
+
+// useServers has the pool send to the servers that the operators' state names, else to those of the settings, but for those that the fleet
+// permits to be out.
+func (d *daemon) useServers(named string) {
+	if d.servers == nil {
+		return
+	}
+	d.serving.Lock()
+	defer d.serving.Unlock()
+	addresses := store.Items(named)
+	if len(addresses) == 0 {
+		addresses = d.deploy.Load().Uwsgi.Servers
+	}
+	d.listed = slices.Clone(addresses)
+	addresses = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return slices.Contains(d.alone, a) })
+	if err := d.servers.Use(addresses); err != nil {
+		d.log.Error("the uwsgi servers stay as they were", "error", err)
 	}
 }
 
@@ -418,7 +465,14 @@
 			d.logTotals()
 		case <-d.hup:
 			d.reload()
+		case code := <-d.replaced:
+			d.apart()
+			d.leave()
+			return errors.Join(d.store.Close(), d.closeRecords(), d.closeTraces(), exitCode(code))
 		case <-stop:
+			if d.apart != nil {
+				d.apart()
+			}
 			d.leave()
 			return errors.Join(d.store.Close(), d.closeRecords(), d.closeTraces())
 		}
@@ -445,7 +499,7 @@
 	d.node.Leave(notice, stop, plan.Quiet)
 	d.quiet.Store(plan.Quiet)
 	d.leaving.Store(true)
-	d.pulse.Close(!plan.Quiet || d.closed.Load())
+	d.pulse.Close(!plan.Quiet || d.away())
 	grace := time.After(time.Until(notice.Add(plan.Shut)))
 	look := time.NewTicker(d.limits.RetryLeast)
 	defer look.Stop()
--- a/internal/config/deploy.go
+++ b/internal/config/deploy.go
@@ -121,6 +121,92 @@
 	Admin   string         `toml:"admin"`   // address for operators; empty: none
 	Dir     string         `toml:"dir"`     // where it outlives a restart; empty: in memory
 	Members []store.Member `toml:"members"` // none: this daemon alone
+	Span    string         `toml:"lease"`   // for which a duty is kept from others; by default 10s. The same on all members
+	Join    bool           `toml:"join"`    // with an empty dir: wait to be added to a store that is there
+}
+
+// Lease is for how long a duty is kept from others.
+func (s Store) Lease() (time.Duration, error) {
+	return span("store: lease", s.Span, store.Terms.Length)
+}
+
+func (s Store) check() error {
+	if s.Join && (len(s.Members) < 2 || s.Dir == "") {
+		return errors.New("store: join needs a dir, and members: this one and those that are there")
+	}
+	_, err := s.Lease()
+	return err
+}
+
+// span reads a time; absent stands for none.
+func span(key, text string, absent time.Duration) (time.Duration, error) {
+	if text == "" {
+		return absent, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 100*time.Millisecond || d > 24*time.Hour {
+		return 0, fmt.Errorf("%s is %q; write 100ms to 24h, such as %q", key, text, absent.String())
+	}
+	return d, nil
+}
+
+// Fleet says how this node takes part in the fleet.
+type Fleet struct {
+	Members   []string `toml:"members"`     // addresses that members of the store have for operators; none: off
+	Dir       string   `toml:"dir"`         // where this node keeps what the fleet wants of it; empty: it forgets with the process
+	Report    string   `toml:"report"`      // between reports; by default 2s
+	Silent    string   `toml:"silent"`      // without one, after which a node is marked; by default 10s
+	Backups   string   `toml:"backups"`     // a folder for backups of the store; empty: this node takes none
+	Each      string   `toml:"backup_each"` // between two; by default 1h
+	Keep      int      `toml:"backup_keep"` // the latest so many stay; by default 24
+	LeaseSpan string   `toml:"lease"`       // of the duties, as the store has it; by default 10s
+
+	Zone        string   `toml:"zone"` // groups that this node is in, for budgets
+	Kind        string   `toml:"kind"`
+	Settle      string   `toml:"settle"`       // in service and well, before this node counts as in; by default 10s. The same on all nodes
+	ReleaseFile string   `toml:"release_file"` // its first line says what is deployed on this node; empty: the program's version is
+	Replace     []string `toml:"replace"`      // a command that puts another release in place, which it finds in $SLOEHITCH_RELEASE; then the process ends
+	ReplaceExit int      `toml:"replace_exit"` // the code that it ends with, for what starts it again; by default 75
+}
+
+// Spans are the times of a fleet's settings.
+type Spans struct{ Report, Silent, Each, Lease, Settle time.Duration }
+
+// Spans reads the times, with what stands for those left out.
+func (f Fleet) Spans() (s Spans, err error) {
+	for _, x := range []struct {
+		key, text string
+		absent    time.Duration
+		to        *time.Duration
+	}{{"report", f.Report, 2 * time.Second, &s.Report}, {"silent", f.Silent, 10 * time.Second, &s.Silent},
+		{"backup_each", f.Each, time.Hour, &s.Each}, {"lease", f.LeaseSpan, store.Terms.Length, &s.Lease}, {"settle", f.Settle, 10 * time.Second, &s.Settle}} {
+		if *x.to, err = span("fleet: "+x.key, x.text, x.absent); err != nil {
+			return s, err
+		}
+	}
+	if s.Silent < 2*s.Report {
+		return s, fmt.Errorf("fleet: silent is %v and report %v: a node would be marked for one late report; write silent at least twice as long", s.Silent, s.Report)
+	}
+	return s, nil
+}
+
+func (f Fleet) check() error {
+	if f.Keep < 0 {
+		return fmt.Errorf("fleet: backup_keep is %d; write 1 or more", f.Keep)
+	}
+	if f.ReplaceExit < 0 || f.ReplaceExit > 255 {
+		return fmt.Errorf("fleet: replace_exit is %d; write 1 to 255", f.ReplaceExit)
+	}
+	if len(f.Replace) > 0 && f.ReleaseFile == "" {
+		return errors.New("fleet: replace needs release_file: a release has to see what has become of this node")
+	}
+	for _, a := range f.Members {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("fleet: member %q: host and port are wanted, such as 127.0.0.1:7070", a)
+		}
+	}
+	_, err := f.Spans()
+	return err
 }
 
 // Ledger says where the record of bookings is kept across restarts.
@@ -199,6 +285,7 @@
 type Deploy struct {
 	Uwsgi  Uwsgi  `toml:"uwsgi"`
 	Store  Store  `toml:"store"`
+	Fleet  Fleet  `toml:"fleet"`
 	Ledger Ledger `toml:"ledger"`
 
 	Metrics Metrics `toml:"metrics"`
@@ -236,7 +323,7 @@
 	if err := decoder.Decode(d); err != nil {
 		return nil, err
 	}
-	if err := errors.Join(d.Ledger.check(), d.Traces.check()); err != nil {
+	if err := errors.Join(d.Ledger.check(), d.Traces.check(), d.Fleet.check(), d.Store.check()); err != nil {
 		return nil, err
 	}
 	addresses := []string{d.Store.Admin, d.Metrics.Listen}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/document"
+	"sloehitch/internal/duty"
+	"sloehitch/internal/lease"
+	"sloehitch/internal/standin"
+)
+
+func TestSight(t *testing.T) {
+	s := NewSight(10 * time.Second)
+	at := func(sec int) lease.Instant { return lease.Instant(sec) * lease.Instant(time.Second) }
+	look := func(sec int, reports ...document.Document) string {
+		s.Look(reports, at(sec))
+		return fmt.Sprint(s.Silent(at(sec)))
+	}
+	a, b := document.Document{Key: "node/a", Version: 1}, document.Document{Key: "node/b", Version: 2}
+	for _, c := range []struct {
+		sec     int
+		reports []document.Document
+		want    string
+	}{
+		{1000, []document.Document{a, b}, "[]"}, // whatever their age: they count from now
+		{1009, []document.Document{a, b}, "[]"},
+		{1010, []document.Document{a, {Key: "node/b", Version: 3}}, "[{a 10s}]"},
+		{1015, []document.Document{{Key: "node/a", Version: 9}, {Key: "node/b", Version: 3}}, "[]"},
+		{1021, []document.Document{{Key: "node/b", Version: 3}}, "[{b 11s}]"}, // a was taken off the list
+		{1022, []document.Document{{Key: "node/a", Version: 9}}, "[]"},        // and is new again
+	} {
+		if got := look(c.sec, c.reports...); got != c.want {
+			t.Errorf("at %d s: silent %s, want %s", c.sec, got, c.want)
+		}
+	}
+}
+
+func TestWhichJobIsDue(t *testing.T) {
+	d := Duty{Name: "backup", Every: time.Hour, Steps: []string{"write"}}
+	noon := time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+	first, due := d.job(duty.Record{}, noon, time.Second, false)
+	if !due || first.After != "" {
+		t.Fatalf("the first: %+v, %v", first, due)
+	}
+	for _, c := range []struct {
+		name string
+		on   duty.Record
+		at   time.Time
+		mine bool // this node did the last one
+		due  bool
+		id   string // empty: a new one
+	}{
+		{"begun: it goes on, whenever", duty.Record{Job: first.ID, State: duty.Begun}, noon.Add(9 * time.Hour), false, true, first.ID},
+		{"over, in the same span", duty.Record{Job: first.ID, State: duty.Over}, noon.Add(59 * time.Minute), true, false, ""},
+		{"over, in the next", duty.Record{Job: first.ID, State: duty.Over}, noon.Add(61 * time.Minute), true, true, ""},
+		{"over, in the next, by another", duty.Record{Job: first.ID, State: duty.Over}, noon.Add(61 * time.Minute), false, false, ""},
+		{"over, in the next, by another that has not come", duty.Record{Job: first.ID, State: duty.Over}, noon.Add(91 * time.Minute), false, true, ""},
+		{"over, by another that is long gone", duty.Record{Job: first.ID, State: duty.Over}, noon.Add(121 * time.Minute), false, true, ""},
+		{"failed, in the next", duty.Record{Job: first.ID, State: duty.Failed}, noon.Add(61 * time.Minute), true, true, ""},
+		{"the clock was set back", duty.Record{Job: first.ID, State: duty.Over}, noon.Add(-2 * time.Hour), true, false, ""},
+	} {
+		j, due := d.job(c.on, c.at, time.Second, c.mine)
+		if due != c.due || due && c.id != "" && j.ID != c.id || due && c.id == "" && (j.ID <= first.ID || j.After != first.ID) {
+			t.Errorf("%s: %+v, due %v", c.name, j, due)
+		}
+	}
+}
+
+func TestOptions(t *testing.T) {
+	fine := Options{Name: "n1", Members: []string{"127.0.0.1:1"}, Every: time.Second, Silent: 5 * time.Second, Terms: lease.Terms{Length: 10 * time.Second}, Log: standin.Quiet}
+	for _, c := range []struct {
+		change func(*Options)
+		wrong  string
+	}{
+		{func(*Options) {}, ""},
+		{func(o *Options) { o.Name = "a/b" }, "slashes"},
+		{func(o *Options) { o.Members = nil }, "members"},
+		{func(o *Options) { o.Silent = time.Second }, "twice"},
+		{func(o *Options) { o.Each = time.Hour }, "folder"},
+		{func(o *Options) { o.Terms.Drift = 2 }, "drift"},
+	} {
+		o := fine
+		c.change(&o)
+		if _, err := New(o); (err == nil) != (c.wrong == "") || err != nil && !strings.Contains(err.Error(), c.wrong) {
+			t.Errorf("%v, want %q", err, c.wrong)
+		}
+	}
+}
+
+// TestPruneKeepsTheLatest, and nothing that is no backup goes.
+func TestPruneKeepsTheLatest(t *testing.T) {
+	dir := t.TempDir()
+	f := &Fleet{opts: Options{Dir: dir, Keep: 2}}
+	d := Duty{Name: "backup", Every: time.Hour, Steps: []string{"write"}}
+	var names []string
+	for i := range 4 {
+		j, _ := d.job(duty.Record{}, time.Unix(int64(i)*3600*1000, 0), time.Second, false)
+		names = append(names, fmt.Sprintf("%s-%d.json", j.ID, 100-i))
+	}
+	for _, name := range append(names, "notes.txt") {
+		if err := os.WriteFile(filepath.Join(dir, name), nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.prune(); err != nil {
+		t.Fatal(err)
+	}
+	left, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var have []string
+	for _, e := range left {
+		have = append(have, e.Name())
+	}
+	if want := append(slices.Clone(names[2:]), "notes.txt"); !slices.Equal(have, want) {
+		t.Errorf("left %v, want %v", have, want)
+	}
+}
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"sloehitch/internal/desired"
+	"sloehitch/internal/fence"
+	"sloehitch/internal/ledger"
+	"sloehitch/internal/store"
+	"sloehitch/internal/trial"
+)
+
+// appliedKey is where the last applied state lies in a node's ledger, beside the tokens that package fence keeps there.
+const appliedKey = "desired"
+
+// wishes is a node's side of what the fleet wants of it. It is not safe for concurrent use.
+type wishes struct {
+	ledger   *ledger.Store // nil: it forgets with the process
+	gate     *fence.Gate
+	follower *desired.Follower
+	apply    func(desired.State)
+}
+
+// newWishes goes on from what the node's ledger has: the state that was applied last is applied again, before the store is heard.
+func newWishes(l *ledger.Store, apply func(desired.State)) (*wishes, error) {
+	w := &wishes{ledger: l, apply: apply}
+	var memory fence.Memory
+	var last desired.Applied
+	if l != nil {
+		memory = fence.Ledger{Store: l}
+		text, err := l.Get([]byte(appliedKey))
+		if err == nil {
+			err = json.Unmarshal(text, &last)
+		}
+		if err != nil && !errors.Is(err, ledger.ErrNotFound) {
+			return nil, fmt.Errorf("the state applied last can't be read: %w", err)
+		}
+	}
+	var err error
+	if w.gate, err = fence.New(memory); err != nil {
+		return nil, err
+	}
+	w.follower = desired.NewFollower(last)
+	if last.State != (desired.State{}) {
+		apply(last.State)
+	}
+	return w, nil
+}
+
+// sees takes the document as it was read; version 0: there was none at that revision. An error says why it was not applied; it is
+// told once for each version.
+func (w *wishes) sees(text string, version, revision uint64) (applied bool, err error) {
+	a, verdict, err := w.follower.Sees(text, version, revision)
+	if verdict != desired.Apply {
+		return false, err
+	}
+	do := func() error {
+		if w.ledger != nil { // first, so that a node that starts anew goes on from it
+			kept, err := json.Marshal(a)
+			if err != nil { // strings and numbers always marshal
+				panic(err)
+			}
+			if err := w.ledger.Put([]byte(appliedKey), kept, time.Time{}); err != nil {
+				return err
+			}
+		}
+		w.apply(a.State)
+		w.follower.Did(a)
+		return nil
+	}
+	if a.State.Duty == "" {
+		err = do()
+	} else {
+		err = w.gate.Pass(a.State.Duty, a.State.Token, do)
+	}
+	var stale *fence.Stale
+	switch {
+	case err == nil:
+		return true, nil
+	case errors.As(err, &stale):
+		w.follower.TurnedDown(a)
+		return false, err
+	}
+	return false, fmt.Errorf("%w: %w", errNotKept, err)
+}
+
+// errNotKept says that a state could not be put on the node's disk, so that it was not applied: it is to be tried again.
+var errNotKept = errors.New("it can't be kept")
+
+// follow pulls what is wanted of this node until the context ends. With the store away it goes on as it is.
+func (f *Fleet) follow(ctx context.Context) {
+	key := desired.Prefix + f.opts.Name
+	var at uint64
+	read := false
+	see := func(text string, version, revision uint64) error {
+		f.mu.Lock()
+		applied, err := f.wishes.sees(text, version, revision)
+		last := f.wishes.follower.Last()
+		f.mu.Unlock()
+		if err != nil {
+			f.log.Warn("what the fleet wants of this node was not applied", err)
+		}
+		if applied {
+			f.opts.Tell(trial.Event{What: "applied", Duty: last.State.Duty, ID: fmt.Sprint(last.State.Token), N: last.Version, Out: last.State.Out})
+			f.opts.Log.Info("what the fleet wants of this node was applied", "out", last.State.Out, "version", last.Version, "by", last.State.By, "why", last.State.Why, "duty", last.State.Duty, "token", last.State.Token)
+		}
+		if !errors.Is(err, errNotKept) {
+			return nil // what was turned down stays so
+		}
+		return err
+	}
+	for ctx.Err() == nil {
+		var err error
+		c, turn := f.member()
+		if !read {
+			at, err = readWish(c, key, see)
+			read = err == nil
+		}
+		if read {
+			at, read, err = watchWish(c, key, at, see)
+		}
+		if err != nil {
+			f.gaveNone(turn)
+			select {
+			case <-ctx.Done():
+			case <-time.After(f.opts.Pause):
+			}
+		}
+	}
+}
+
+// readWish reads the document anew, from the member that is asked first as it has it: an older one than before changes nothing.
+func readWish(c store.Client, key string, see func(text string, version, revision uint64) error) (revision uint64, err error) {
+	d, seen, err := c.Document(key, true)
+	if err != nil {
+		return 0, err
+	}
+	if seen.AgeMS < 0 {
+		return 0, errors.New("this member has heard of no leader")
+	}
+	return seen.Revision, see(d.Value, d.Version, seen.Revision)
+}
+
+// watchWish waits for changes of the document after a revision, and returns the one to go on from. Not going: the document is to
+// be read anew, since not all that came between is remembered.
+func watchWish(c store.Client, key string, after uint64, see func(text string, version, revision uint64) error) (revision uint64, going bool, err error) {
+	changes, seen, forgotten, err := c.Changes(key, after, c.Timeout/2)
+	if err != nil {
+		return after, true, err
+	}
+	for _, x := range changes {
+		switch {
+		case x.Key != key: // of a node whose name begins so
+			continue
+		case x.Deleted:
+			err = see("", 0, x.Revision)
+		default:
+			err = see(x.Value, x.Revision, x.Revision)
+		}
+		if err != nil {
+			return after, false, err
+		}
+	}
+	return max(after, seen.Revision), !forgotten, nil
+}
--- /dev/null
+++ b/internal/fleet/releases.go
@@ -0,0 +1,205 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"sloehitch/internal/budget"
+	"sloehitch/internal/document"
+	"sloehitch/internal/lease"
+	"sloehitch/internal/permit"
+	"sloehitch/internal/release"
+	"sloehitch/internal/store"
+	"sloehitch/internal/trial"
+	"sloehitch/internal/verdict"
+)
+
+// releases is the duty of who takes releases through the fleet.
+const releases = "release"
+
+// verdicts are the terms by which releases are judged.
+var verdicts = verdict.Terms{FalseAlarm: 0.01, Looks: 200, Least: 8}
+
+// keptSpans is how many spans of reports are kept to compare by.
+const keptSpans = 400
+
+// releasing is one candidate for that duty.
+type releasing struct {
+	*standing
+	sight  *Sight
+	owners map[string]*release.Owner
+	judges map[string]*verdict.Recorder
+	taken  lease.Instant // when the last span ended
+}
+
+// keepReleases takes this node's turn at releases, while there are any, until the context ends.
+func (f *Fleet) keepReleases(ctx context.Context) {
+	k := &releasing{}
+	k.standing = &standing{Fleet: f, duty: releases, prefix: release.Prefix, do: k.goOn, reset: func() {
+		k.sight = NewSight(f.opts.Silent)
+		k.owners, k.judges = map[string]*release.Owner{}, map[string]*verdict.Recorder{}
+	}}
+	k.serve(ctx)
+}
+
+// goOn has each release go on by a step.
+func (k *releasing) goOn(token uint64) (idle bool, err error) {
+	v, at, docs, err := k.view(k.sight)
+	if err != nil {
+		return false, err
+	}
+	now := k.clock()
+	span := now.Add(-2*k.opts.Every) >= k.taken
+	if span {
+		k.taken = now
+	}
+	idle = true
+	for _, d := range docs {
+		if !strings.HasPrefix(d.Key, release.Prefix) {
+			continue
+		}
+		var r release.Release
+		if err := json.Unmarshal([]byte(d.Value), &r); err != nil || r.Check() != nil || release.Prefix+r.Name != d.Key || r.Wave < 0 || r.Wave >= len(r.Waves) {
+			k.log.Warn("a release can't be read", fmt.Errorf("%s: %w", d.Key, errors.Join(err, r.Check())))
+			continue
+		}
+		if r.State != release.Running && r.State != release.Back {
+			continue
+		}
+		idle = false
+		if k.owners[r.Name] == nil {
+			k.owners[r.Name], k.judges[r.Name] = &release.Owner{}, verdict.NewRecorder(keptSpans)
+		}
+		if span {
+			k.judges[r.Name].Take(k.reports(r, v))
+		}
+		j := verdict.Judge(verdicts, k.judges[r.Name].Nodes())
+		step := k.owners[r.Name].Next(r, v, j, k.opts.Outs.Settle, now)
+		if err := k.take(r, step, v, at, token); err != nil && !errors.Is(err, store.ErrConflict) {
+			return false, err
+		}
+	}
+	return idle, nil
+}
+
+// reports are the nodes' counts, as the judgement of a release takes them.
+func (k *releasing) reports(r release.Release, v permit.View) (list []verdict.Report) {
+	for _, s := range v.Members {
+		if s.Service != "" {
+			continue
+		}
+		x := s.Report
+		list = append(list, verdict.Report{Name: s.Name, Zone: x.Zone, Since: x.Since, Changed: x.Release == r.To,
+			In:    s.Quiet == budget.In && !s.Bad && x.Counts(k.opts.Outs.Settle) == budget.In,
+			Total: verdict.Span{Served: float64(x.Served), Refused: float64(x.Refused), Failed: float64(x.Failed), P99MS: x.P99MS}})
+	}
+	return list
+}
+
+// take makes what a step of a release is, under the token and only if the release is still as it was read.
+func (k *releasing) take(r release.Release, step release.Step, v permit.View, at permit.Versions, token uint64) error {
+	key := release.Prefix + r.Name
+	mine := []document.Condition{{Duty: releases, Token: token}, {Key: key, Version: at[key]}}
+	make := func(why string, on []document.Condition, do ...document.Operation) error {
+		return k.make(document.Transaction{ID: rand.Text(), By: k.opts.Name, Why: "release " + r.Name + ": " + why, If: append(mine[:2:2], on...), Do: do})
+	}
+	if step.Halt != "" {
+		next := r
+		next.Note = step.Halt
+		err := make("halted: "+step.Halt, []document.Condition{{Key: permit.Halts + r.Name}},
+			document.Operation{Key: permit.Halts + r.Name, Value: k.opts.Name + ": " + step.Halt}, document.Operation{Key: key, Value: permit.Text(next)})
+		if err == nil {
+			k.opts.Log.Warn("a release halted by itself", "release", r.Name, "why", step.Halt)
+			k.opts.Tell(trial.Event{What: "halts", Duty: r.Name, ID: step.Halt})
+		}
+		return err
+	}
+	if step.Next != nil {
+		err := make(fmt.Sprintf("%s, wave %d", step.Next.State, step.Next.Wave+1), nil, document.Operation{Key: key, Value: permit.Text(*step.Next)})
+		if err == nil {
+			k.opts.Log.Info("a release goes on", "release", r.Name, "state", step.Next.State, "wave", step.Next.Wave+1, "of", len(r.Waves), "note", step.Next.Note)
+			k.opts.Tell(trial.Event{What: "release", Duty: r.Name, ID: string(step.Next.State), N: uint64(step.Next.Wave)})
+		}
+		return err
+	}
+	for _, a := range step.Asks {
+		node := permit.AskKey(a.Node)
+		do, why := document.Operation{Key: node, Delete: true}, "takes its ask for "+a.Node+" back"
+		if !a.Drop {
+			why = a.Node + " to " + a.To
+			do = document.Operation{Key: node, Value: permit.Text(permit.Ask{ID: rand.Text(), By: r.By, Why: "release " + r.Name + " to " + a.To, At: v.Now, Within: r.Within, Release: r.Name, To: a.To})}
+		}
+		if err := make(why, []document.Condition{{Key: node, Version: at[node]}, {Key: permit.Halts + permit.All}, {Key: permit.Halts + r.Name}}, do); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartRelease puts a release on record, which whoever has the duty then takes through the fleet. It errs with store.ErrConflict where there is
+// one of that name. One that is over makes room for another of its name.
+func StartRelease(ask store.Client, r release.Release) error {
+	if err := r.Check(); err != nil {
+		return err
+	}
+	was, _, err := ask.Document(release.Prefix+r.Name, false)
+	if err != nil {
+		return err
+	}
+	if was.Version > 0 {
+		old, err := ReadRelease(was)
+		if err != nil || old.State == release.Running || old.State == release.Back {
+			return fmt.Errorf("%w: there is a release %s that is not over", store.ErrConflict, r.Name)
+		}
+	}
+	_, err = ask.Make(document.Transaction{ID: rand.Text(), By: r.By, Why: "release " + r.Name + " to " + r.To + ": " + r.Why, If: []document.Condition{{Key: was.Key, Version: was.Version}, {Key: permit.Halts + r.Name}},
+		Do: []document.Operation{{Key: was.Key, Value: permit.Text(r)}}})
+	return err
+}
+
+// ReadRelease reads a release's document.
+func ReadRelease(d document.Document) (r release.Release, err error) {
+	if d.Version == 0 {
+		return r, fmt.Errorf("there is no %s", d.Key)
+	}
+	return r, json.Unmarshal([]byte(d.Value), &r)
+}
+
+// BackRelease has a release go back: what is changed goes back to what it was, newest first, under the same budgets. It may have been halted
+// before; it goes on then.
+func BackRelease(ask store.Client, name, by, why string) error {
+	key := release.Prefix + name
+	for range 5 { // its owner may write at the same time
+		was, _, err := ask.Document(key, false)
+		if err != nil {
+			return err
+		}
+		r, err := ReadRelease(was)
+		if err != nil {
+			return err
+		}
+		halted, _, err := ask.Document(permit.Halts+name, false)
+		if err != nil {
+			return err
+		}
+		if r.State == release.Undone {
+			return fmt.Errorf("release %s has gone back already", name)
+		}
+		r.State, r.Note = release.Back, "back, by "+by+": "+why
+		t := document.Transaction{ID: rand.Text(), By: by, Why: "release " + name + " goes back: " + why, If: []document.Condition{{Key: key, Version: was.Version}, {Key: halted.Key, Version: halted.Version}},
+			Do: []document.Operation{{Key: key, Value: permit.Text(r)}}}
+		if halted.Version > 0 {
+			t.Do = append(t.Do, document.Operation{Key: halted.Key, Delete: true})
+		}
+		if _, err = ask.Make(t); !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("%w: it changes all the time; ask again", store.ErrConflict)
+}
--- /dev/null
+++ b/internal/fleetrig/events.go
@@ -0,0 +1,130 @@
+package fleetrig
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"sloehitch/internal/lease"
+	"sloehitch/internal/trial"
+)
+
+// told is an event with the node that told it.
+type told struct {
+	Node int
+	trial.Event
+}
+
+// events reads what all processes have told, in the order of the machine's clock. A last line that a killed process left unfinished
+// is passed over.
+func (f *processes) events() (all []told, err error) {
+	for i := range f.Nodes {
+		file, err := os.Open(filepath.Join(f.trial(i), "events"))
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		lines := bufio.NewScanner(file)
+		for lines.Scan() {
+			e := told{Node: i}
+			if json.Unmarshal(lines.Bytes(), &e.Event) == nil {
+				all = append(all, e)
+			}
+		}
+		if err := errors.Join(lines.Err(), file.Close()); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(all, func(a, b told) int { return int(a.At - b.At) })
+	return all, nil
+}
+
+// span is a stretch of time in which a node believed or did something.
+type span struct {
+	Node     int
+	What     string // duty a node holds, or "store" where it leads
+	Token    uint64
+	From, To lease.Instant
+}
+
+// spans are the stretches that events tell of; what has no end reaches to the last event.
+func spans(all []told) (list []span) {
+	open := map[string]int{} // by node and what: the index of the last one
+	var last lease.Instant
+	for _, e := range all {
+		last = max(last, e.At)
+		if e.What == "starts" { // whatever the process before it believed, it is over
+			for i := range list {
+				if s := &list[i]; s.Node == e.Node && (s.To == 0 || s.To > e.At) {
+					s.To = e.At
+				}
+			}
+			continue
+		}
+		key := fmt.Sprint(e.Node, " ", e.Duty)
+		at, known := open[key]
+		switch e.What {
+		case "holds":
+			if known && list[at].Token == e.N && list[at].To >= e.At {
+				list[at].To = max(list[at].To, e.Until)
+				continue
+			}
+			open[key] = len(list)
+			list = append(list, span{e.Node, e.Duty, e.N, e.At, max(e.At, e.Until)})
+		case "gives":
+			if known && list[at].Token == e.N {
+				list[at].To = min(list[at].To, e.At)
+			}
+		case "leads":
+			open[key] = len(list)
+			list = append(list, span{e.Node, "store", e.N, e.At, 0})
+		case "follows":
+			if known && list[at].To == 0 {
+				list[at].To = e.At
+			}
+		}
+	}
+	for i := range list {
+		if list[i].To == 0 {
+			list[i].To = last
+		}
+	}
+	return list
+}
+
+// checkEvents holds what the processes told to what was promised: no two believe that they hold a duty at once (in step: as long as
+// no clock is wrong by more than was allowed for), what is wanted of a node is applied in order only, and the last of it is.
+func checkEvents(all []told, wanted map[int]wish, inStep bool) (wrong []string) {
+	say := func(format string, args ...any) { wrong = append(wrong, fmt.Sprintf(format, args...)) }
+	held := spans(all)
+	for i, a := range held {
+		for _, b := range held[i+1:] {
+			if inStep && a.What == b.What && a.What != "store" && a.Node != b.Node && a.From < b.To && b.From < a.To {
+				say("n%d believes that it holds %s under token %d until %v after n%d began to under token %d", a.Node, a.What, a.Token, a.To-b.From, b.Node, b.Token)
+			}
+		}
+	}
+	applied := map[int]trial.Event{}
+	for _, e := range all {
+		if e.What != "applied" {
+			continue
+		}
+		if was := applied[e.Node]; e.N <= was.N {
+			say("n%d applied version %d after version %d", e.Node, e.N, was.N)
+		}
+		applied[e.Node] = e.Event
+	}
+	for node, w := range wanted {
+		if e := applied[node]; e.N != w.revision || e.Out != w.out {
+			say("n%d has applied version %d (out: %v), and version %d (out: %v) is wanted", node, e.N, e.Out, w.revision, w.out)
+		}
+	}
+	return wrong
+}
--- /dev/null
+++ b/internal/fleetrig/process_test.go
@@ -0,0 +1,36 @@
+package fleetrig
+
+import (
+	"bytes"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestFallenProcess: a daemon that ends by itself ends the run at once, with its last words, instead of being waited for.
+func TestFallenProcess(t *testing.T) {
+	var log bytes.Buffer
+	_, err := Play(Options{Nodes: 3, Lease: time.Second, Length: time.Second, Recovery: time.Hour, Dir: t.TempDir(), Log: &log,
+		Command: func(string, string) *exec.Cmd {
+			return exec.Command("sh", "-c", "echo the address is taken >&2; exit 3")
+		}})
+	if err == nil || !strings.Contains(err.Error(), "ended by itself: exit status 3; its last words: the address is taken") {
+		t.Errorf("%v", err)
+	}
+	if !strings.Contains(log.String(), "taken") {
+		t.Errorf("the log has %q", log.String())
+	}
+}
+
+// TestLastWords: the end of what was said is kept, however much that was.
+func TestLastWords(t *testing.T) {
+	w := &lastWords{}
+	for range 100 {
+		w.Write(bytes.Repeat([]byte("x"), 100))
+	}
+	w.Write([]byte("end\n"))
+	if got := w.String(); len(got) != mostWords-1 || !strings.HasSuffix(got, "xend") {
+		t.Errorf("%d bytes, %q", len(got), got[len(got)-8:])
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,9 @@
 	Clock    clock.Clock
 	Limits   limits.Limits
 	Log      *slog.Logger
+	// Took is told how long each served request took, from when it reached the machine; nil: nobody is. It is called with the core's lock
+	// held: it must not block, nor call the core.
+	Took func(time.Duration)
 }
 
 // stage is how far a request's own work has come.
@@ -403,6 +406,9 @@
 	case Served:
 		n.counts.Served++
 		n.class(r).Served++
+		if n.opts.Took != nil {
+			n.opts.Took(n.opts.Clock.Now().Sub(r.Arrived))
+		}
 	case Refused:
 		n.counts.Refused++
 		n.class(r).Refused++
--- a/internal/store/admin.go
+++ b/internal/store/admin.go
@@ -49,6 +49,8 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 		}
 	})
+	s.documentPaths(mux)
+	s.memberPaths(mux)
 	return mux
 }
 
@@ -61,7 +63,7 @@
 // All fetches all values.
 func (c Client) All() (map[string]string, error) {
 	values := map[string]string{}
-	return values, c.do(http.MethodGet, "/state", nil, func(r io.Reader) error { return json.NewDecoder(r).Decode(&values) })
+	return values, c.get("/state", &values)
 }
 
 // Set sets a value on all members.
@@ -69,6 +71,9 @@
 	return c.do(http.MethodPut, "/state/"+key, []byte(value), func(io.Reader) error { return nil })
 }
 
+// errNoPath says that the member that was asked knows nothing of what it was asked.
+var errNoPath = errors.New("not known to the version of the member that was asked")
+
 func (c Client) do(method, path string, body []byte, read func(io.Reader) error) error {
 	req, err := http.NewRequest(method, "http://"+c.Address+path, bytes.NewReader(body))
 	if err != nil {
@@ -81,6 +86,12 @@
 	defer resp.Body.Close()
 	if resp.StatusCode >= 300 {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, mostValue)) // the status says enough without it
+		switch resp.StatusCode {
+		case http.StatusNotFound:
+			return fmt.Errorf("%w: %s %s", errNoPath, method, path)
+		case http.StatusConflict:
+			return fmt.Errorf("%w: %s", ErrConflict, bytes.TrimSpace(text))
+		}
 		return fmt.Errorf("%s: %s", resp.Status, strings.TrimSpace(string(text)))
 	}
 	return read(resp.Body)
--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,67 @@
+package store
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sloehitch/internal/lease"
+)
+
+// BenchmarkChanges is changes through the leader, on disk, by so many writers at once with so many members: a key of the
+// operators' state as it was before there were documents, and a transaction under a duty's token.
+func BenchmarkChanges(b *testing.B) {
+	for _, members := range []int{1, 3, 5} {
+		for _, writers := range []int{1, 16, 64} {
+			for _, kind := range []string{"set", "transaction"} {
+				b.Run(fmt.Sprintf("%s/%d members/%d writers", kind, members, writers), func(b *testing.B) {
+					g := newGroupOn(b, members, lease.Terms{}, b.TempDir)
+					s := g.stores[g.leader(b).Name]
+					waitFor(b, "a lease", func() bool { _, err := s.Lease("d", Question{Ask: "take", Holder: "b"}); return err == nil })
+					token := s.docs.Leases().Get("d").Token
+					var next atomic.Int64
+					var mu sync.Mutex
+					var took []time.Duration
+					var wg sync.WaitGroup
+					b.ResetTimer()
+					for range writers {
+						wg.Add(1)
+						go func() {
+							defer wg.Done()
+							for {
+								i := next.Add(1)
+								if i > int64(b.N) {
+									return
+								}
+								began := time.Now()
+								var err error
+								if kind == "set" {
+									err = s.Set(Closed, fmt.Sprint("n", i))
+								} else {
+									t := tx(fmt.Sprint("t", i), fmt.Sprint("k", i%100), "a value")
+									t.If = append(t.If, underToken("d", token))
+									_, err = s.Make(t)
+								}
+								if err != nil {
+									b.Error(err)
+									return
+								}
+								mu.Lock()
+								took = append(took, time.Since(began))
+								mu.Unlock()
+							}
+						}()
+					}
+					wg.Wait()
+					b.StopTimer()
+					slices.Sort(took)
+					b.ReportMetric(float64(len(took))/b.Elapsed().Seconds(), "changes/s")
+					b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+				})
+			}
+		}
+	}
+}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -294,6 +294,9 @@
 	case a.Begun:
 		f.count(func(n *Counts) { n.Broken++ })
 		abort(c)
+	case a.Kind == node.Failed && j.body.left(): // it failed because the client left, or sent what is bad: both were told at once
+		f.left(c, j)
+		return "left"
 	default:
 		f.answer(c, j.body, render(a))
 	}
