Play releases in a model; a node that is killed once is no verdict on its version

The release had tests of single decisions only. Its model (lab walk releases) plays the real owner, keeper, agents, documents and judgement through fleets with late and lost messages, owners that stand still between look and write, people that halt, resume, go back and drain meanwhile, a service below that fails for all, and good and bad versions.

Restarts are now held against the unchanged nodes', by the time that each side was watched (binomial), and against chance like the other figures. What an owner writes moved from package fleet to release.Step.Transactions, so that the model and the daemon make the same transactions.

--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -9,7 +9,6 @@
 	"strings"
 	"time"
 
-	"sloehitch/internal/budget"
 	"sloehitch/internal/document"
 	"sloehitch/internal/lease"
 	"sloehitch/internal/permit"
@@ -19,9 +18,6 @@
 	"sloehitch/internal/verdict"
 )
 
-// releases is the duty of who takes releases through the fleet.
-const releases = "release"
-
 // verdicts are the terms by which releases are judged.
 var verdicts = verdict.Terms{FalseAlarm: 0.01, Looks: 200, Least: 8}
 
@@ -40,7 +36,7 @@
 // keepReleases takes this node's turn at releases, while there are any, until the context ends.
 func (f *Fleet) keepReleases(ctx context.Context) {
 	k := &releasing{}
-	k.standing = &standing{Fleet: f, duty: releases, prefix: release.Prefix, do: k.goOn, reset: func() {
+	k.standing = &standing{Fleet: f, duty: release.Duty, prefix: release.Prefix, do: k.goOn, reset: func() {
 		k.sight = NewSight(f.opts.Silent)
 		k.owners, k.judges = map[string]*release.Owner{}, map[string]*verdict.Recorder{}
 	}}
@@ -76,7 +72,7 @@
 			k.owners[r.Name], k.judges[r.Name] = &release.Owner{}, verdict.NewRecorder(keptSpans)
 		}
 		if span {
-			k.judges[r.Name].Take(k.reports(r, v))
+			k.judges[r.Name].Take(r.Reports(v, k.opts.Outs.Settle))
 		}
 		j := verdict.Judge(verdicts, k.judges[r.Name].Nodes())
 		step := k.owners[r.Name].Next(r, v, j, k.opts.Outs.Settle, now)
@@ -87,57 +83,21 @@
 	return idle, nil
 }
 
-// reports are the nodes' counts, as the judgement of a release takes them.
-func (k *releasing) reports(r release.Release, v permit.View) (list []verdict.Report) {
-	for _, s := range v.Members {
-		if s.Service != "" {
-			continue
-		}
-		x := s.Report
-		list = append(list, verdict.Report{Name: s.Name, Zone: x.Zone, Since: x.Since, Changed: x.Release == r.To,
-			In:    s.Quiet == budget.In && !s.Bad && x.Counts(k.opts.Outs.Settle) == budget.In,
-			Total: verdict.Span{Served: float64(x.Served), Refused: float64(x.Refused), Failed: float64(x.Failed), P99MS: x.P99MS}})
-	}
-	return list
-}
-
-// take makes what a step of a release is, under the token and only if the release is still as it was read.
+// take makes what a step of a release is, and says so.
 func (k *releasing) take(r release.Release, step release.Step, v permit.View, at permit.Versions, token uint64) error {
-	key := release.Prefix + r.Name
-	mine := []document.Condition{{Duty: releases, Token: token}, {Key: key, Version: at[key]}}
-	make := func(why string, on []document.Condition, do ...document.Operation) error {
-		return k.make(document.Transaction{ID: rand.Text(), By: k.opts.Name, Why: "release " + r.Name + ": " + why, If: append(mine[:2:2], on...), Do: do})
-	}
-	if step.Halt != "" {
-		next := r
-		next.Note = step.Halt
-		err := make("halted: "+step.Halt, []document.Condition{{Key: permit.Halts + r.Name}},
-			document.Operation{Key: permit.Halts + r.Name, Value: k.opts.Name + ": " + step.Halt}, document.Operation{Key: key, Value: permit.Text(next)})
-		if err == nil {
-			k.opts.Log.Warn("a release halted by itself", "release", r.Name, "why", step.Halt)
-			k.opts.Tell(trial.Event{What: "halts", Duty: r.Name, ID: step.Halt})
-		}
-		return err
-	}
-	if step.Next != nil {
-		err := make(fmt.Sprintf("%s, wave %d", step.Next.State, step.Next.Wave+1), nil, document.Operation{Key: key, Value: permit.Text(*step.Next)})
-		if err == nil {
-			k.opts.Log.Info("a release goes on", "release", r.Name, "state", step.Next.State, "wave", step.Next.Wave+1, "of", len(r.Waves), "note", step.Next.Note)
-			k.opts.Tell(trial.Event{What: "release", Duty: r.Name, ID: string(step.Next.State), N: uint64(step.Next.Wave)})
-		}
-		return err
-	}
-	for _, a := range step.Asks {
-		node := permit.AskKey(a.Node)
-		do, why := document.Operation{Key: node, Delete: true}, "takes its ask for "+a.Node+" back"
-		if !a.Drop {
-			why = a.Node + " to " + a.To
-			do = document.Operation{Key: node, Value: permit.Text(permit.Ask{ID: rand.Text(), By: r.By, Why: "release " + r.Name + " to " + a.To, At: v.Now, Within: r.Within, Release: r.Name, To: a.To})}
-		}
-		if err := make(why, []document.Condition{{Key: node, Version: at[node]}, {Key: permit.Halts + permit.All}, {Key: permit.Halts + r.Name}}, do); err != nil {
+	for _, t := range step.Transactions(r, v, at, token, k.opts.Name, rand.Text) {
+		if err := k.make(t); err != nil {
 			return err
 		}
 	}
+	switch {
+	case step.Halt != "":
+		k.opts.Log.Warn("a release halted by itself", "release", r.Name, "why", step.Halt)
+		k.opts.Tell(trial.Event{What: "halts", Duty: r.Name, ID: step.Halt})
+	case step.Next != nil:
+		k.opts.Log.Info("a release goes on", "release", r.Name, "state", step.Next.State, "wave", step.Next.Wave+1, "of", len(r.Waves), "note", step.Next.Note)
+		k.opts.Tell(trial.Event{What: "release", Duty: r.Name, ID: string(step.Next.State), N: uint64(step.Next.Wave)})
+	}
 	return nil
 }
 
--- a/internal/permit/walk/walk.go
+++ b/internal/permit/walk/walk.go
@@ -49,24 +49,33 @@
 	seen  bool
 	busy  int // requests in hand
 
+	served, failed uint64        // since its process began
+	since          time.Duration // when that was
+	chance         *rand.Rand    // of what it serves
+
 	reported permit.Report
 	heard    time.Duration // when the store had its last report
 	out      bool          // out of service by a permit, to be seen from outside
 	choice   bool          // it went out by choice, and is not in and well for long enough yet
 }
 
-// keeper is one candidate for the duty.
-type keeper struct {
-	k     permit.Keeper
+// candidate is one of those that take turns at a duty.
+type candidate struct {
+	name  string
 	token uint64
 	until time.Duration
 	still time.Duration
 	rate  float64
-	looks map[string]time.Duration // when it first saw each node, and whether the report has changed since
-	fresh map[string]bool
+	looks map[string]time.Duration // when it first saw each node
 	busy  time.Duration
 }
 
+// keeper is a candidate for the permits.
+type keeper struct {
+	candidate
+	k permit.Keeper
+}
+
 type world struct {
 	r       *rand.Rand
 	now     time.Duration
@@ -74,6 +83,7 @@
 	store   *document.State
 	nodes   []*node
 	keepers []*keeper
+	release *course // nil: nodes are asked for by people only
 	rules   budget.Rules
 	mutant  string
 	calm    bool
@@ -127,6 +137,9 @@
 	}
 	w.after(to, func() {
 		r := w.store.Apply(t, lease.Instant(w.now))
+		if r.Made {
+			w.made(t)
+		}
 		if from, comes := w.way(); comes {
 			w.after(from, once(r, true))
 		}
@@ -268,12 +281,13 @@
 		n.label, n.to = n.to, ""
 	}
 	n.dead, n.began, n.busy, n.still, n.out = 0, w.now, 0, 0, false
+	n.served, n.failed, n.since = 0, 0, w.now
 	n.agent = permit.NewAgent(permit.Node{Release: n.label, Terms: Terms, Settle: w.settle(), Tries: 2})
 }
 
 // report has a node tell the store of itself.
 func (w *world) report(n *node) {
-	r := permit.Report{State: "ready", Well: w.healthy(n), InMS: (w.now - n.began).Milliseconds(), Zone: n.zone, Release: n.label}
+	r := permit.Report{State: "ready", Well: w.healthy(n), InMS: (w.now - n.began).Milliseconds(), Zone: n.zone, Release: n.label, Since: (n.since + time.Second).Milliseconds(), Served: n.served, Failed: n.failed}
 	if n.out {
 		r.State, r.InMS = "out of service", 0
 	}
@@ -285,8 +299,8 @@
 	}
 }
 
-// view is what a keeper reads, confirmed.
-func (w *world) view(k *keeper) (permit.View, permit.Versions) {
+// view is what a candidate reads, confirmed.
+func (w *world) view(k *candidate) (permit.View, permit.Versions) {
 	by := permit.Parsed{
 		Ask:    func(d document.Document) (permit.Ask, error) { return read(w, w.asks, d), nil },
 		Permit: func(d document.Document) (permit.Permit, error) { return read(w, w.permits, d), nil },
@@ -311,29 +325,57 @@
 	return v, at
 }
 
+func (w *world) candidate(i int) candidate {
+	return candidate{name: fmt.Sprint("c", i), rate: 1 + Terms.Drift*(2*float64(w.r.IntN(2))-1), looks: map[string]time.Duration{}}
+}
+
+// moves says whether a candidate does not stand still now.
+func (w *world) moves(k *candidate) bool {
+	switch {
+	case k.still > w.now:
+		return false
+	case !w.calm && w.r.IntN(80) == 0:
+		k.still = w.now + time.Duration(w.r.Float64()*float64(3*Terms.Length))
+		return false
+	}
+	return true
+}
+
+// holds says whether a candidate has its duty now; fresh: since just now.
+func (w *world) holds(k *candidate, duty string) (mine, fresh bool) {
+	agree := func(rec lease.Record, err error) bool {
+		if err == nil {
+			w.store.Apply(document.Transaction{ID: w.id(), Do: []document.Operation{{Lease: &rec}}}, lease.Instant(w.now))
+			k.token, k.until = rec.Token, w.now+Terms.Hold()
+		}
+		return err == nil
+	}
+	if k.until <= w.now {
+		if !agree(w.store.Leases().Take(duty, k.name, lease.Instant(w.now))) {
+			return false, false
+		}
+		k.looks = map[string]time.Duration{}
+		return true, true
+	}
+	if k.until-w.now < Terms.Hold()/2 {
+		agree(w.store.Leases().Renew(duty, k.name, k.token))
+	}
+	return true, false
+}
+
 func (w *world) keep(k *keeper) {
 	if k.busy > w.now {
 		return
 	}
-	if k.until <= w.now {
-		rec, err := w.store.Leases().Take(duty, fmt.Sprintf("%p", k), lease.Instant(w.now))
-		if err != nil {
-			return
-		}
-		w.store.Apply(document.Transaction{ID: w.id(), Do: []document.Operation{{Lease: &rec}}}, lease.Instant(w.now))
-		k.token, k.until = rec.Token, w.now+Terms.Hold()
+	mine, fresh := w.holds(&k.candidate, duty)
+	if fresh {
 		k.k = permit.Keeper{Terms: Terms, Settle: w.settle()}
-		k.looks = map[string]time.Duration{}
 		w.Met["keepers"]++
-		return
 	}
-	if k.until-w.now < Terms.Hold()/2 {
-		if rec, err := w.store.Leases().Renew(duty, fmt.Sprintf("%p", k), k.token); err == nil {
-			w.store.Apply(document.Transaction{ID: w.id(), Do: []document.Operation{{Lease: &rec}}}, lease.Instant(w.now))
-			k.until = w.now + Terms.Hold()
-		}
+	if !mine || fresh {
+		return
 	}
-	v, at := w.view(k)
+	v, at := w.view(&k.candidate)
 	s := k.k.Decide(v, w.clock(k.rate))
 	w.Met["refused"] += len(s.Refused)
 	if k.busy = w.now + step; !w.calm {
@@ -356,13 +398,28 @@
 	}
 }
 
+// put writes a document as an operator does, who hears the answer.
+func (w *world) put(key, value string) {
+	w.store.Apply(document.Transaction{ID: w.id(), By: "op", Do: []document.Operation{{Key: key, Value: value, Delete: value == ""}}}, lease.Instant(w.now))
+}
+
+// halt has an operator halt, which is acknowledged once no window is open.
+func (w *world) halt(what string) {
+	w.put(permit.Halts+what, "op")
+	at, mine := w.now, w.store.Get(permit.Halts+what).Version
+	w.after(Terms.Length, func() {
+		if w.store.Get(permit.Halts+what).Version == mine && w.halted[what] == 0 {
+			w.Met["halted"]++
+			w.halted[what] = at + Terms.Length
+		}
+	})
+}
+
 // operate is people and releases: they ask, take back, halt and resume.
 func (w *world) operate() {
 	n := w.nodes[w.r.IntN(len(w.nodes))]
 	key := permit.AskKey(n.name)
-	put := func(key, value string) {
-		w.store.Apply(document.Transaction{ID: w.id(), By: "op", Do: []document.Operation{{Key: key, Value: value, Delete: value == ""}}}, lease.Instant(w.now))
-	}
+	put := w.put
 	switch x := w.r.IntN(20); {
 	case x < 8 && w.store.Get(key).Version == 0:
 		a := permit.Ask{ID: w.id(), By: "op", Urgent: w.r.IntN(4) == 0}
@@ -375,15 +432,7 @@
 	case x < 10 && w.store.Get(key).Version > 0:
 		put(key, "")
 	case x == 12:
-		halt := []string{permit.All, "r"}[w.r.IntN(2)]
-		put(permit.Halts+halt, "op")
-		at, mine := w.now, w.store.Get(permit.Halts+halt).Version
-		w.after(Terms.Length, func() {
-			if w.store.Get(permit.Halts+halt).Version == mine && w.halted[halt] == 0 {
-				w.Met["halted"]++
-				w.halted[halt] = at + Terms.Length
-			}
-		})
+		w.halt([]string{permit.All, "r"}[w.r.IntN(2)])
 	case x < 18:
 		for _, halt := range []string{permit.All, "r"} {
 			if w.r.IntN(2) == 0 {
@@ -430,6 +479,15 @@
 // out by choice than a budget lets, one that began to go out after a halt was acknowledged, or wishes that nothing comes of; empty: all
 // held. met counts what happened. mutant is one of Mutants, or empty.
 func Play(seed uint64, mutant string) (wrong string, met map[string]int) {
+	return play(seed, mutant, 0, false)
+}
+
+// PlayOf is Play with a fleet of so many nodes.
+func PlayOf(nodes int, seed uint64, mutant string) (wrong string, met map[string]int) {
+	return play(seed, mutant, nodes, false)
+}
+
+func play(seed uint64, mutant string, nodes int, releases bool) (wrong string, met map[string]int) {
 	w := &world{r: rand.New(rand.NewPCG(seed, 26)), mutant: mutant, Met: map[string]int{}, halted: map[string]time.Duration{},
 		asks: map[string]parsed[permit.Ask]{}, permits: map[string]parsed[permit.Permit]{}}
 	var err error
@@ -437,17 +495,20 @@
 		return err.Error(), nil
 	}
 	size, zones := 1+w.r.IntN(9), 1+w.r.IntN(3)
-	if seed%50 == 0 {
+	if seed%50 == 0 && !releases {
 		size = 60
 	}
+	if nodes > 0 {
+		size = nodes
+	}
 	for i := range size {
 		n := &node{name: fmt.Sprintf("n%03d", i), zone: fmt.Sprint("z", i%zones), rate: 1 + Terms.Drift*(2*float64(w.r.IntN(2))-1), label: "v0", began: -time.Minute}
 		w.start(n)
 		n.began = -time.Minute
 		w.nodes = append(w.nodes, n)
 	}
-	for range 3 {
-		w.keepers = append(w.keepers, &keeper{rate: 1 + Terms.Drift*(2*float64(w.r.IntN(2))-1), looks: map[string]time.Duration{}})
+	for i := range 3 {
+		w.keepers = append(w.keepers, &keeper{candidate: w.candidate(i)})
 	}
 	most := 1 + w.r.IntN(max(1, size/2))
 	w.rules = budget.Rules{{Group: "fleet", MostOut: &most}}
@@ -456,6 +517,10 @@
 	}
 	w.store.Apply(document.Transaction{ID: w.id(), Do: []document.Operation{{Key: permit.Rules, Value: permit.Text(w.rules)}}}, 0)
 	calmAt, end := 60*time.Second, 60*time.Second+time.Duration(size)*20*time.Second+30*time.Second
+	if releases {
+		w.begin()
+		end += 4 * time.Duration(size) * 60 * time.Second // there, and back
+	}
 	for ; w.now < end; w.now += step {
 		if !w.calm && w.now >= calmAt {
 			w.calm = true
@@ -464,7 +529,7 @@
 			}
 			clear(w.halted)
 			for _, d := range w.list("/ask") { // drains are taken back, releases go on
-				if a := read(w, w.asks, d); a.Release == "" || a.Failed != "" {
+				if a := read(w, w.asks, d); a.Release == "" || a.Failed != "" && !releases {
 					w.store.Apply(document.Transaction{ID: w.id(), Do: []document.Operation{{Key: d.Key, Delete: true}}}, lease.Instant(w.now))
 				}
 			}
@@ -476,7 +541,10 @@
 				e.do()
 			}
 		}
-		if !w.calm && w.r.IntN(4) == 0 {
+		switch {
+		case releases:
+			w.goOn()
+		case !w.calm && w.r.IntN(4) == 0:
 			w.operate()
 		}
 		for _, n := range w.nodes {
@@ -496,6 +564,7 @@
 				n.busy = max(0, n.busy-1)
 			} else {
 				n.busy = 5
+				w.serves(n)
 			}
 			if w.now/step%3 == 0 {
 				w.own(n)
@@ -506,11 +575,7 @@
 			}
 		}
 		for _, k := range w.keepers {
-			switch {
-			case k.still > w.now:
-			case !w.calm && w.r.IntN(80) == 0:
-				k.still = w.now + time.Duration(w.r.Float64()*float64(3*Terms.Length))
-			default:
+			if w.moves(&k.candidate) {
 				w.keep(k)
 			}
 		}
@@ -521,6 +586,9 @@
 			return "", w.Met
 		}
 	}
+	if !w.idle() && w.release != nil {
+		return fmt.Sprintf("%v after the faults: %s", w.now-calmAt, w.stands()), w.Met
+	}
 	if !w.idle() {
 		left := maps.Collect(func(yield func(string, string) bool) {
 			for _, d := range w.store.List(permit.Prefix) {
@@ -541,6 +609,9 @@
 
 // idle says whether nothing is wanted any more, and nobody is out.
 func (w *world) idle() bool {
+	if w.release != nil && !w.release.ended(w) {
+		return false
+	}
 	for _, d := range w.list("/ask") {
 		if a := read(w, w.asks, d); a.Failed == "" {
 			return false
--- a/internal/permit/walk/walk_test.go
+++ b/internal/permit/walk/walk_test.go
@@ -44,3 +44,28 @@
 		}
 	}
 }
+
+// TestReleases: a release goes through the fleet or back, whatever happens; a bad one is seen, a good one never called worse.
+func TestReleases(t *testing.T) {
+	met, few := map[string]int{}, max(1, *seeds/5) // each takes some ten times as long
+	for seed := range uint64(few) {
+		wrong, here := Releases(seed, "")
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		for what := range here {
+			met[what]++
+		}
+	}
+	t.Logf("of %d releases: %v", few, met)
+	for _, what := range []string{"steps", "replaced", "halted", "owners", "killed", "back", "called worse"} {
+		if met[what]*12 < few {
+			t.Errorf("%s: in %d of %d releases only", what, met[what], few)
+		}
+	}
+	for mutant, seed := range map[string]uint64{"halt not looked at before a step": 37, "step of an overtaken owner": 276, "way back ignores the budget": 2, "judgement without pairing": 21} {
+		if wrong, _ := Releases(seed, mutant); wrong == "" {
+			t.Errorf("%s: not seen at seed %d", mutant, seed)
+		}
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -55,9 +55,9 @@
 	Name, Zone string
 	Spans      []Span
 	Known      []bool
-	Changed    int  // the first span that counts as after its change; 0: not changed
-	Restarts   int  // beyond that of the change itself, since then
-	In         bool // it is to be judged: it has come back
+	Began      []bool // its process was started anew in that span, but for its change
+	Changed    int    // the first span that counts as after its change; 0: not changed
+	In         bool   // it is to be judged: it has come back
 }
 
 // Judgement is what came of a look.
@@ -67,9 +67,52 @@
 	Sure  bool   // there were enough spans to call it no worse
 }
 
+// alarm is the chance of a false alarm of one figure, restarts among them, at one look.
+func (t Terms) alarm() float64 { return t.FalseAlarm / float64(max(1, t.Looks)*(len(figures)+1)) }
+
+// restarts says whether processes of changed nodes are started anew more often than those of unchanged ones, for the time that each was
+// watched; empty: not for certain. Given how many there were in all, those of the changed nodes are binomial by their part of that time
+// (Przyborowski and Wilenski 1940): a process that ends once, for whatever reason, is no verdict on its version.
+func restarts(t Terms, nodes []Node) string {
+	var began, watched [2]int // of unchanged nodes, of changed ones
+	for _, n := range nodes {
+		for i, known := range n.Known {
+			side := 0
+			if n.Changed > 0 && i >= n.Changed {
+				side = 1
+			}
+			if known {
+				watched[side]++
+			}
+			if i < len(n.Began) && n.Began[i] {
+				began[side]++
+			}
+		}
+	}
+	if watched[0] == 0 || watched[1] == 0 || began[1] == 0 {
+		return ""
+	}
+	all := began[0] + began[1]
+	part := float64(watched[1]) / float64(watched[0]+watched[1])
+	chance := 0.0
+	for k := began[1]; k <= all; k++ {
+		chance += math.Exp(choose(all, k) + float64(k)*math.Log(part) + float64(all-k)*math.Log(1-part))
+	}
+	if chance >= t.alarm() {
+		return ""
+	}
+	return fmt.Sprintf("changed nodes were started anew %d times in %d spans, the others %d times in %d", began[1], watched[1], began[0], watched[0])
+}
+
+// choose is the logarithm of the number of ways to take k of n.
+func choose(n, k int) float64 {
+	log := func(n int) float64 { v, _ := math.Lgamma(float64(n + 1)); return v }
+	return log(n) - log(k) - log(n-k)
+}
+
 // Judge looks at all nodes.
 func Judge(t Terms, nodes []Node) Judgement {
-	z := math.Sqrt2 * math.Erfinv(1-2*t.FalseAlarm/float64(max(1, t.Looks)*len(figures)))
+	z := math.Sqrt2 * math.Erfinv(1-2*t.alarm())
 	var changed []Node
 	for _, n := range nodes {
 		if n.Changed > 0 && n.In {
@@ -79,10 +122,8 @@
 	if len(changed) == 0 {
 		return Judgement{Why: "nothing is changed yet"}
 	}
-	for _, n := range changed {
-		if n.Restarts > 1 {
-			return Judgement{Worse: true, Why: fmt.Sprintf("%s was started %d times since its change", n.Name, n.Restarts)}
-		}
+	if why := restarts(t, nodes); why != "" {
+		return Judgement{Worse: true, Sure: true, Why: why}
 	}
 	j := Judgement{Sure: true}
 	for _, f := range figures {
@@ -196,29 +237,27 @@
 		here[x.Name] = true
 		n := r.nodes[x.Name]
 		if n == nil {
-			n = &recorded{Node: Node{Name: x.Name, Zone: x.Zone, Spans: make([]Span, r.spans-1), Known: make([]bool, r.spans-1)}}
+			n = &recorded{Node: Node{Name: x.Name, Zone: x.Zone, Spans: make([]Span, r.spans-1), Known: make([]bool, r.spans-1), Began: make([]bool, r.spans-1)}}
 			r.nodes[x.Name] = n
 		}
 		known := x.In && n.have && x.Since == n.since
-		if n.have && x.Since != n.since && n.Changed > 0 {
-			n.Restarts++
-		}
+		began := n.since != 0 && x.Since != n.since
 		if x.Changed && n.Changed == 0 && n.have { // what it did while it was out and came back counts as neither
-			n.Changed, n.Restarts = r.spans+1, 1
+			n.Changed, began = r.spans+1, false
 		}
 		d := Span{Served: x.Total.Served - n.last.Served, Refused: x.Total.Refused - n.last.Refused, Failed: x.Total.Failed - n.last.Failed, P99MS: x.Total.P99MS}
-		n.Spans, n.Known = append(n.Spans, d), append(n.Known, known)
+		n.Spans, n.Known, n.Began = append(n.Spans, d), append(n.Known, known), append(n.Began, began)
 		n.last, n.since, n.have, n.In, n.Zone = x.Total, x.Since, true, x.In, x.Zone
 	}
 	for name, n := range r.nodes {
 		if !here[name] {
-			n.Spans, n.Known, n.have, n.In = append(n.Spans, Span{}), append(n.Known, false), false, false
+			n.Spans, n.Known, n.Began, n.have, n.In = append(n.Spans, Span{}), append(n.Known, false), append(n.Began, false), false, false
 		}
 	}
 	if over := r.spans - r.keep; over > 0 {
 		r.spans -= over
 		for _, n := range r.nodes {
-			n.Spans, n.Known = slices.Delete(n.Spans, 0, over), slices.Delete(n.Known, 0, over)
+			n.Spans, n.Known, n.Began = slices.Delete(n.Spans, 0, over), slices.Delete(n.Known, 0, over), slices.Delete(n.Began, 0, over)
 			if n.Changed > 0 {
 				n.Changed = max(1, n.Changed-over)
 			}
