Play releases in the emulator; watch before the first node, and say when nothing was told

How far does a bad version come, and what does a release cost? The emulator plays one now (internal/emulator/release.go) with the real permits, keeper, owner and judgement against waves without budgets, fixed batches and none; experiments keep nodes changed, most out at once, and the time until it was over or halted.

It showed at once that a version failing 10% of its answers went through a quiet fleet of six nodes unseen. Two causes: the first node was asked for before anything was known of it (release.Next), so there was nothing from before to compare with; and a wave counted as judged once there were 8 spans, whatever those could show (verdict.Judge, Sure). Ruled out: the figures themselves (the counts were right) and the zones.

--- a/cmd/sloehitch/release.go
+++ b/cmd/sloehitch/release.go
@@ -74,7 +74,7 @@
 	if len(v.Rules) == 0 {
 		fmt.Println("no budget is set: nothing would begin; \"fleet budget --file\" sets them")
 	}
-	fmt.Printf("at the least %v of watching, beside what nodes take to empty, be replaced and warm up\n", time.Duration(len(r.Waves))*time.Duration(r.SoakMS)*time.Millisecond)
+	fmt.Printf("at the least %v of watching, beside what nodes take to empty, be replaced and warm up\n", time.Duration(len(r.Waves)+1)*time.Duration(r.SoakMS)*time.Millisecond)
 	for _, w := range r.Waves {
 		for _, n := range w {
 			if r.From[n] == "" {
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -89,8 +89,9 @@
 	ColdFrom float64       // share of its speed that a node has as it comes back; 0: all
 	ColdFor  time.Duration // until it has all
 
-	Faults []Fault
-	Policy func(Site) Server
+	Faults  []Fault
+	Release *Release // nil: there is none
+	Policy  func(Site) Server
 
 	// Drive moves the clock to a time and makes all calls until then; nil: as fast as it goes. A driver that follows the
 	// machine's clock lets servers be real ones (package rig). Begin is when the clock begins; zero: always the same.
@@ -153,6 +154,7 @@
 	want((w.Rate > 0) != (w.Load > 0), "one of rate and load must be above 0")
 	want(w.Burst >= 0 && w.Burst <= 1 && (w.Burst == 0 || w.Every > 0), "burst must be from 0 to 1, with the time between two above 0")
 	want(w.Policy != nil, "a policy is wanted")
+	w.Release.check(want)
 	want(len(w.Classes) > 0, "classes are wanted")
 	for _, c := range w.Classes {
 		want(c.Share > 0 && c.Work.Mean > 0 && c.Aim > 0 && c.Deadline >= c.Aim, fmt.Sprintf("class %q: share, work and aim must be above 0, and the deadline no sooner than the aim", c.Name))
@@ -244,6 +246,7 @@
 	Little      float64 // the same by Little's law: all requests' time in the system over the length
 	Events      uint64
 	Broken      []*Broken
+	Release     *Rolled // what became of the release, where there was one
 }
 
 // Goodput is the worth answered in time over the worth offered.
@@ -269,6 +272,7 @@
 	listed  []int // room for choose
 	below   *below
 	tries   map[*Try]*request
+	rollout *rollout // nil: no release goes through it
 
 	open   int // requests in the system
 	area   float64
@@ -286,6 +290,16 @@
 	life    int     // how often it has begun: what was sent to an earlier life is lost
 	lossy   float64 // share of messages lost
 	loss    *rand.Rand
+	version *version // nil where there is no release
+	factor  float64  // of its speed, by its version; 0: 1
+}
+
+// speed is a node's when it is warm.
+func (p *play) speed(h *host) float64 {
+	if h.factor > 0 {
+		return p.World.Speed * h.factor
+	}
+	return p.World.Speed
 }
 
 // balancer is one caller of the nodes.
@@ -311,7 +325,7 @@
 	if !w.Begin.IsZero() {
 		begun = w.Begin.Round(0)
 	}
-	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{}, tries: map[*Try]*request{}}
+	p := &play{World: &w, clock: clock.NewVirtual(begun), begun: begun, marked: begun, streams: Streams{w.Seed}, result: &Result{Release: &Rolled{}}, tries: map[*Try]*request{}}
 	settings := w.Settings()
 	if w.Below != nil {
 		p.below = &below{Dependency: *w.Below, clock: p.clock, random: p.streams.Stream("dependency"), speed: 1}
@@ -328,6 +342,9 @@
 	for range w.Classes {
 		p.result.Classes = append(p.result.Classes, Tally{Latency: hdrhistogram.New(1, 600_000_000, 3)})
 	}
+	if err := p.rolls(); err != nil {
+		return nil, err
+	}
 	for _, f := range w.Faults {
 		p.clock.AfterFunc(f.At, func() { p.fault(f) })
 	}
@@ -381,6 +398,14 @@
 		settings := p.Settings()
 		settings.Cold, settings.ColdCapacity, settings.WarmAfter = p.ColdFrom > 0, p.ColdFrom, logic.Micros(p.ColdFor.Microseconds())
 		p.begin(h, settings)
+		if w := p.rollout; w != nil {
+			label := h.version.label
+			if to, changes := w.label[h]; changes {
+				label = to
+				delete(w.label, h)
+			}
+			w.starts(h, label)
+		}
 		p.warm(h, h.life, 0)
 		p.list(h, true)
 	})
@@ -394,7 +419,7 @@
 	if p.ColdFrom == 0 || h.life != life {
 		return
 	}
-	h.machine.Speed(p.World.Speed * (p.ColdFrom + (1-p.ColdFrom)*float64(step)/warmSteps))
+	h.machine.Speed(p.speed(h) * (p.ColdFrom + (1-p.ColdFrom)*float64(step)/warmSteps))
 	if step < warmSteps {
 		p.clock.AfterFunc(p.ColdFor/warmSteps, func() { p.warm(h, life, step+1) })
 	}
@@ -587,6 +612,9 @@
 func (r *request) offer(at int, t *Try) {
 	h := r.nodes[at]
 	h.server.Offer(t, func(a node.Answer) {
+		if r.rollout != nil {
+			r.rollout.answered(h, t, &a)
+		}
 		if h.lost() {
 			return
 		}
@@ -757,8 +785,8 @@
 		if f.Kind == Slow {
 			speed = f.Factor
 		}
-		h.machine.Speed(speed * p.World.Speed)
-		p.clock.AfterFunc(f.Length, still(func() { h.machine.Speed(p.World.Speed) }))
+		h.machine.Speed(speed * p.speed(h))
+		p.clock.AfterFunc(f.Length, still(func() { h.machine.Speed(p.speed(h)) }))
 	case Below:
 		p.below.speed = f.Factor
 		p.clock.AfterFunc(f.Length, func() { p.below.speed = 1 })
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -62,6 +63,7 @@
 	Below   *Below   `toml:"below"`
 	Tenants []Tenant `toml:"tenant"`
 	Faults  []Fault  `toml:"fault"`
+	Release *Release `toml:"release"`
 	Sweep   Sweep    `toml:"sweep"`
 	Arms    []Arm    `toml:"arm"`
 
@@ -142,6 +144,19 @@
 	Return Span    `toml:"return"`
 }
 
+// Release is another version that goes through the fleet, by the arms that have a roll.
+type Release struct {
+	At      Span    `toml:"at"`
+	Zones   int     `toml:"zones"`
+	MostOut float64 `toml:"most_out"` // share of the fleet, where the roll is agreed
+	Batch   float64 `toml:"batch"`    // share of the fleet, where it is batch
+	Settle  Span    `toml:"settle"`
+	Soak    Span    `toml:"soak"`
+	Start   Span    `toml:"start"`
+	Slow    float64 `toml:"slow"`  // the new version's speed as a share of the old one's
+	Fails   float64 `toml:"fails"` // share of its answers that are failures
+}
+
 // Sweep is what is tried, each with each; what is empty stays as the world says.
 type Sweep struct {
 	Load    []float64 `toml:"load"` // of what all cores can do
@@ -154,6 +169,9 @@
 	Name      string  `toml:"name"`
 	Policy    string  `toml:"policy"`
 	Parameter float64 `toml:"parameter"`
+	Roll      string  `toml:"roll"` // how the release goes here: agreed, unbounded or batch; empty: it does not
+	Slow      float64 `toml:"slow"` // of the release, where this arm meets another version than the rest
+	Fails     float64 `toml:"fails"`
 }
 
 // Read reads an experiment. An error is one line that names the file, the line where there is one, and what to do.
@@ -301,5 +319,13 @@
 	for _, x := range f.Faults {
 		w.Faults = append(w.Faults, emulator.Fault{At: x.At.Duration, Node: x.Node, Kind: emulator.Kind(x.Kind), Length: x.Length.Duration, Factor: x.Factor, Return: x.Return.Duration})
 	}
+	if a.Roll != "" {
+		x := f.Release
+		if x == nil {
+			return w, fmt.Errorf("roll %q: there is no [release] to go by", a.Roll)
+		}
+		w.Release = &emulator.Release{At: x.At.Duration, Roll: emulator.Roll(a.Roll), Zones: x.Zones, MostOut: x.MostOut, Batch: x.Batch, Settle: x.Settle.Duration, Soak: x.Soak.Duration,
+			Start: x.Start.Duration, Slow: cmp.Or(a.Slow, x.Slow), Fails: cmp.Or(a.Fails, x.Fails)}
+	}
 	return w, nil
 }
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -60,10 +60,20 @@
 	Against *Interval `json:"against,omitempty"` // its goodput less the first arm's, seed by seed
 	P99     Interval  `json:"p99_ms"`            // of the worst class
 	Refused Interval  `json:"refused"`           // share of requests
+	Release *Rolled   `json:"release,omitempty"` // where one went through
 
 	goodput map[uint64]float64
 }
 
+// Rolled is what became of a release.
+type Rolled struct {
+	Changed Interval `json:"changed"`  // nodes that run the new version at the end
+	MostOut Interval `json:"most_out"` // nodes that were out of service or cold at once
+	Took    Interval `json:"took_s"`   // seconds until it was over or halted by itself, in those seeds where it was
+	Ended   int      `json:"ended"`    // seeds
+	Halted  int      `json:"halted"`   // and of these, where it halted by itself
+}
+
 func (c Cell) point() Point { return Point{c.Load, c.Nodes, c.Retries} }
 
 // Cells sums rows up, in the order in which arms and points come.
@@ -72,7 +82,10 @@
 		arm   string
 		point Point
 	}
-	type sums struct{ worth, offer, p99, refused, offered float64 }
+	type sums struct {
+		worth, offer, p99, refused, offered float64
+		last                                Row
+	}
 	seeds := map[key]map[uint64]*sums{}
 	var order []key
 	for _, r := range rows {
@@ -87,18 +100,27 @@
 			seeds[k][r.Seed] = s
 		}
 		s.worth, s.offer, s.p99 = s.worth+r.Worth, s.offer+r.Offer, max(s.p99, r.P99MS)
+		s.last = r
 		s.refused, s.offered = s.refused+float64(r.Refused), s.offered+float64(r.Offered)
 	}
 	first := map[Point]Cell{}
 	for _, k := range order {
 		c := Cell{Arm: k.arm, Load: k.point.Load, Nodes: k.point.Nodes, Retries: k.point.Retries, goodput: map[uint64]float64{}}
-		var goodput, p99, refused, against []float64
+		var goodput, p99, refused, against, changed, out, took []float64
+		halted := 0
 		for _, seed := range sortedSeeds(seeds[k]) {
 			s := seeds[k][seed]
 			c.goodput[seed] = s.worth / max(1e-9, s.offer)
+			if changed, out = append(changed, float64(s.last.Changed)), append(out, float64(s.last.MostOut)); s.last.Took > 0 {
+				took = append(took, s.last.Took)
+			}
+			halted += s.last.Halted
 			goodput, p99, refused = append(goodput, c.goodput[seed]), append(p99, s.p99), append(refused, s.refused/max(1, s.offered))
 		}
 		c.Goodput, c.P99, c.Refused = Bootstrap(goodput), Bootstrap(p99), Bootstrap(refused)
+		if slices.Max(out) > 0 {
+			c.Release = &Rolled{Bootstrap(changed), Bootstrap(out), Bootstrap(took), len(took), halted}
+		}
 		if f, ok := first[k.point]; ok {
 			for _, seed := range sortedSeeds(seeds[k]) {
 				if g, both := f.goodput[seed]; both {
@@ -145,6 +167,17 @@
 		fmt.Fprintf(w, "%.3g\t%d\t%d\t%s\t%s\t%s\t%.0f\t%.1f%%\n", c.Load, c.Nodes, c.Retries, c.Arm, c.Goodput.text(1), against, c.P99.Mean, 100*c.Refused.Mean)
 	}
 	w.Flush()
+	rolled := slices.DeleteFunc(slices.Clone(cells), func(c Cell) bool { return c.Release == nil })
+	if len(rolled) == 0 {
+		return b.String()
+	}
+	fmt.Fprintln(&b)
+	fmt.Fprintln(w, "load\tnodes\tarm\tchanged at the end [95%]\tmost out or cold\tseconds until over or halted\tended, halted by itself")
+	for _, c := range rolled {
+		r := c.Release
+		fmt.Fprintf(w, "%.3g\t%d\t%s\t%s\t%s\t%s\t%d, %d\n", c.Load, c.Nodes, c.Arm, r.Changed.text(1), r.MostOut.text(1), r.Took.text(1), r.Ended, r.Halted)
+	}
+	w.Flush()
 	return b.String()
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -26,10 +26,13 @@
 	Worth, Offer                                   float64 // answered in time; offered
 	MeanMS, P50MS, P99MS                           float64 // of those served
 	Utilization                                    float64
+	Changed, MostOut                               int     // of a release: nodes that it had changed at the end, and that were out or cold at once
+	Took                                           float64 // seconds until it was over, or halted by itself; 0: neither
+	Halted                                         int     // 1: it halted by itself
 }
 
 var header = []string{"arm", "load", "nodes", "retries", "seed", "class", "offered", "in_aim", "late", "refused", "failed", "expired", "tries",
-	"worth", "worth_offered", "mean_ms", "p50_ms", "p99_ms", "utilization"}
+	"worth", "worth_offered", "mean_ms", "p50_ms", "p99_ms", "utilization", "changed", "most_out", "took_s", "halted"}
 
 // record is a row's fields, with as many digits everywhere.
 func (r Row) record() []string {
@@ -38,7 +41,7 @@
 	for _, n := range []int{r.Offered, r.InAim, r.Late, r.Refused, r.Failed, r.Expired, r.Tries} {
 		out = append(out, strconv.Itoa(n))
 	}
-	for _, x := range []float64{r.Worth, r.Offer, r.MeanMS, r.P50MS, r.P99MS, r.Utilization} {
+	for _, x := range []float64{r.Worth, r.Offer, r.MeanMS, r.P50MS, r.P99MS, r.Utilization, float64(r.Changed), float64(r.MostOut), r.Took, float64(r.Halted)} {
 		out = append(out, f(x))
 	}
 	return out
@@ -57,7 +60,8 @@
 	}
 	r = Row{Arm: in[0], Point: Point{number(1), int(number(2)), int(number(3))}, Seed: uint64(number(4)), Class: in[5], Offered: int(number(6)), InAim: int(number(7)),
 		Late: int(number(8)), Refused: int(number(9)), Failed: int(number(10)), Expired: int(number(11)), Tries: int(number(12)), Worth: number(13),
-		Offer: number(14), MeanMS: number(15), P50MS: number(16), P99MS: number(17), Utilization: number(18)}
+		Offer: number(14), MeanMS: number(15), P50MS: number(16), P99MS: number(17), Utilization: number(18),
+		Changed: int(number(19)), MostOut: int(number(20)), Took: number(21), Halted: int(number(22))}
 	return r, errors.Join(errs...)
 }
 
@@ -210,11 +214,16 @@
 
 // rows are what became of a run's classes.
 func (j job) rows(w emulator.World, r *emulator.Result) (rows []Row) {
+	halted := 0
+	if r.Release.Halted != "" {
+		halted = 1
+	}
 	for i, t := range r.Classes {
 		ms := func(us int64) float64 { return float64(us) / 1000 }
 		rows = append(rows, Row{Arm: j.arm.Name, Point: j.point, Seed: j.seed, Class: w.Classes[i].Name, Offered: t.Offered, InAim: t.InAim, Late: t.Late,
 			Refused: t.Refused, Failed: t.Failed, Expired: t.Expired, Tries: t.Tries, Worth: t.Worth, Offer: float64(t.Offered) * w.Classes[i].Worth,
-			MeanMS: t.Latency.Mean() / 1000, P50MS: ms(t.Latency.ValueAtQuantile(50)), P99MS: ms(t.Latency.ValueAtQuantile(99)), Utilization: r.Utilization})
+			MeanMS: t.Latency.Mean() / 1000, P50MS: ms(t.Latency.ValueAtQuantile(50)), P99MS: ms(t.Latency.ValueAtQuantile(99)), Utilization: r.Utilization,
+			Changed: r.Release.Changed, MostOut: r.Release.MostOut, Took: r.Release.Took.Seconds(), Halted: halted})
 	}
 	return rows
 }
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -59,8 +58,8 @@
 		if !strings.HasPrefix(d.Key, release.Prefix) {
 			continue
 		}
-		var r release.Release
-		if err := json.Unmarshal([]byte(d.Value), &r); err != nil || r.Check() != nil || release.Prefix+r.Name != d.Key || r.Wave < 0 || r.Wave >= len(r.Waves) {
+		r, err := release.Read(d)
+		if err != nil || r.Check() != nil || release.Prefix+r.Name != d.Key || r.Wave < 0 || r.Wave >= len(r.Waves) {
 			k.log.Warn("a release can't be read", fmt.Errorf("%s: %w", d.Key, errors.Join(err, r.Check())))
 			continue
 		}
@@ -112,7 +111,7 @@
 		return err
 	}
 	if was.Version > 0 {
-		old, err := ReadRelease(was)
+		old, err := release.Read(was)
 		if err != nil || old.State == release.Running || old.State == release.Back {
 			return fmt.Errorf("%w: there is a release %s that is not over", store.ErrConflict, r.Name)
 		}
@@ -122,14 +121,6 @@
 	return err
 }
 
-// ReadRelease reads a release's document.
-func ReadRelease(d document.Document) (r release.Release, err error) {
-	if d.Version == 0 {
-		return r, fmt.Errorf("there is no %s", d.Key)
-	}
-	return r, json.Unmarshal([]byte(d.Value), &r)
-}
-
 // BackRelease has a release go back: what is changed goes back to what it was, newest first, under the same budgets. It may have been halted
 // before; it goes on then.
 func BackRelease(ask store.Client, name, by, why string) error {
@@ -139,7 +130,7 @@
 		if err != nil {
 			return err
 		}
-		r, err := ReadRelease(was)
+		r, err := release.Read(was)
 		if err != nil {
 			return err
 		}
--- a/internal/fleetrig/drains.go
+++ b/internal/fleetrig/drains.go
@@ -212,7 +212,7 @@
 			last = err.Error()
 			return false
 		}
-		r, err := fleet.ReadRelease(doc)
+		r, err := release.Read(doc)
 		if err != nil {
 			last = err.Error()
 			return false
--- a/internal/permit/walk/release.go
+++ b/internal/permit/walk/release.go
@@ -1,7 +1,6 @@
 package walk
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,7 +14,7 @@
 
 const (
 	good, bad = "good", "bad" // what a release may be to; bad fails a part of its requests
-	soak      = 6 * time.Second
+	soak      = 8 * time.Second
 	span      = 500 * time.Millisecond
 	late      = 40 * time.Second // in which a node should be back
 )
@@ -70,7 +69,7 @@
 	}
 	share := w.release.illness(w.now)
 	if n.label == bad {
-		share += 0.2
+		share += 0.3
 	}
 	for range 20 {
 		if w.chance(n).Float64() < share {
@@ -93,7 +92,8 @@
 func (w *world) course() (r release.Release, version uint64) {
 	d := w.store.Get(release.Prefix + "r")
 	if d.Version > 0 {
-		if err := json.Unmarshal([]byte(d.Value), &r); err != nil {
+		var err error
+		if r, err = release.Read(d); err != nil {
 			w.fail("%v", err)
 		}
 	}
--- a/internal/permit/walk/walk_test.go
+++ b/internal/permit/walk/walk_test.go
@@ -63,7 +63,7 @@
 			t.Errorf("%s: in %d of %d releases only", what, met[what], few)
 		}
 	}
-	for mutant, seed := range map[string]uint64{"halt not looked at before a step": 37, "step of an overtaken owner": 276, "way back ignores the budget": 2, "judgement without pairing": 21} {
+	for mutant, seed := range map[string]uint64{"halt not looked at before a step": 26, "step of an overtaken owner": 75, "way back ignores the budget": 7, "judgement without pairing": 15} {
 		if wrong, _ := Releases(seed, mutant); wrong == "" {
 			t.Errorf("%s: not seen at seed %d", mutant, seed)
 		}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -120,6 +120,8 @@
 // Owner is what one process knows that does a release: since when, on its own clock. Another begins to count anew. It is not safe for concurrent
 // use.
 type Owner struct {
+	first lease.Instant // of its looks
+	looks bool
 	whole lease.Instant // since when all of the wave is back
 	is    bool
 	wave  int
@@ -132,6 +134,9 @@
 		o.is, o.out = false, nil
 		return Step{}
 	}
+	if !o.looks {
+		o.first, o.looks = now, true
+	}
 	seen := map[string]permit.Seen{}
 	for _, s := range v.Members {
 		seen[s.Name] = s
@@ -177,6 +182,9 @@
 		open++
 	}
 	if len(step.Asks) > 0 {
+		if r.Wave == 0 && changed == 0 && time.Duration(now-o.first) < time.Duration(r.SoakMS)*time.Millisecond {
+			return Step{} // how all do without it is seen first: there is nothing to compare the first node with otherwise
+		}
 		return step
 	}
 	next := r
--- a/internal/release/release_test.go
+++ b/internal/release/release_test.go
@@ -125,3 +125,18 @@
 		}
 	}
 }
+
+// TestWatchesFirst: how all do without the new version is seen for as long as a wave is watched, before the first node is asked for.
+func TestWatchesFirst(t *testing.T) {
+	r := Release{Name: "r", To: "v2", State: Running, Waves: [][]string{{"n0"}}, SoakMS: 1000, LateMS: 5000}
+	v := permit.View{Asks: map[string]permit.Ask{}, Permits: map[string]permit.Permit{}, Halted: map[string]bool{}, Members: []permit.Seen{node("n0", "a", "v1")}}
+	var o Owner
+	for _, c := range []struct {
+		at   time.Duration
+		asks int
+	}{{5 * time.Second, 0}, {5900 * time.Millisecond, 0}, {6 * time.Second, 1}} {
+		if s := o.Next(r, v, verdict.Judgement{}, time.Second, lease.Instant(c.at)); len(s.Asks) != c.asks {
+			t.Errorf("at %v it asks for %v, want %d", c.at, s.Asks, c.asks)
+		}
+	}
+}
--- a/internal/release/write.go
+++ b/internal/release/write.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -59,3 +60,11 @@
 	}
 	return list
 }
+
+// Read reads a release's document. It errs where there is none, and on what can't be read.
+func Read(d document.Document) (r Release, err error) {
+	if d.Version == 0 {
+		return r, fmt.Errorf("there is no %s", d.Key)
+	}
+	return r, json.Unmarshal([]byte(d.Value), &r)
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -5,8 +5,9 @@
 // it was changed: a rise of load and a sick service below are the same on both sides, and a machine that was slow all along was so
 // before. Nodes of one zone that are not changed must be left to compare with; without any there is no verdict, and that is said.
 //
-// The differences of a node are taken for independent from span to span, and a mean of many of them for normal (a one-sided z test on
-// paired differences; Bonferroni over all looks and figures of a release). A difference below Least is no matter, however certain.
+// The differences of a node are taken for independent from span to span, and a mean of many of them for normal (a one-sided test on
+// paired differences; Bonferroni over all looks and figures of a release; Student's distribution, for few spans). A difference below a
+// figure's least is no matter, however certain; and where one of its most could not have been seen yet, a version is not called sound.
 package verdict
 
 import (
@@ -26,6 +27,7 @@
 	name  string
 	of    func(Span) (value float64, known bool)
 	least float64 // a difference below this is no matter
+	most  float64 // one of this much is to be seen, before a version is called no worse
 	unit  string
 }
 
@@ -37,9 +39,9 @@
 }
 
 var figures = []figure{
-	{"failed share", share(func(s Span) float64 { return s.Failed }), 0.01, ""},
-	{"refused share", share(func(s Span) float64 { return s.Refused }), 0.03, ""},
-	{"99th percentile of latency", func(s Span) (float64, bool) { return math.Log(max(s.P99MS, 0.01)), s.P99MS > 0 }, math.Log(1.3), " (log)"},
+	{"failed share", share(func(s Span) float64 { return s.Failed }), 0.01, 0.05, ""},
+	{"refused share", share(func(s Span) float64 { return s.Refused }), 0.03, 0.15, ""},
+	{"99th percentile of latency", func(s Span) (float64, bool) { return math.Log(max(s.P99MS, 0.01)), s.P99MS > 0 }, math.Log(1.3), math.Log(2.5), " (log)"},
 }
 
 // Terms are how certain a verdict is to be.
@@ -64,7 +66,7 @@
 type Judgement struct {
 	Worse bool
 	Why   string // of a worse one, or why nothing can be said yet
-	Sure  bool   // there were enough spans to call it no worse
+	Sure  bool   // there was enough to call it no worse
 }
 
 // alarm is the chance of a false alarm of one figure, restarts among them, at one look.
@@ -127,7 +129,8 @@
 	}
 	j := Judgement{Sure: true}
 	for _, f := range figures {
-		var all []float64 // differences of all changed nodes, each less its own from before
+		var all, rest []float64 // differences of all changed nodes, each less its own mean from before; what is left without the means
+		mine := map[string][2]int{}
 		short := 0
 		for _, n := range changed {
 			before, after := paired(f, n, nodes)
@@ -136,26 +139,49 @@
 				continue
 			}
 			was := mean(before)
+			for _, d := range before {
+				rest = append(rest, d-was)
+			}
 			for _, d := range after {
 				all = append(all, d-was)
 			}
+			mine[n.Name] = [2]int{len(before), len(after)}
 		}
 		if short > 0 && f.name == figures[0].name {
 			j.Sure, j.Why = false, fmt.Sprintf("%d of %d changed nodes have too few spans, or nobody of their zone to compare with", short, len(changed))
 		}
-		if len(all) < t.Least {
+		if len(mine) == 0 {
 			continue
 		}
-		m, dev := mean(all), deviation(all)
-		// What was before is a mean of at least Least spans, with an error of its own.
-		err := dev * math.Sqrt(1/float64(len(all))+1/float64(t.Least))
-		if m > f.least && m > z*err {
-			return Judgement{Worse: true, Sure: true, Why: fmt.Sprintf("%s of the changed nodes is %.3f%s above the others' of their zones, where %.3f would be chance", f.name, m, f.unit, max(f.least, z*err))}
+		m := mean(all)
+		for _, d := range all {
+			rest = append(rest, d-m)
+		}
+		// The mean of all has an error of its own, and so has each node's from before.
+		share := 1 / float64(len(all))
+		for _, n := range mine {
+			part := float64(n[1]) / float64(len(all))
+			share += part * part / float64(n[0])
+		}
+		chance := student(z, len(rest)-len(mine)-1) * deviation(rest, len(mine)+1) * math.Sqrt(share)
+		switch {
+		case m > f.least && m > chance:
+			return Judgement{Worse: true, Sure: true, Why: fmt.Sprintf("%s of the changed nodes is %.3f%s above the others' of their zones, where %.3f would be chance", f.name, m, f.unit, max(f.least, chance))}
+		case chance > f.most && j.Sure:
+			j.Sure, j.Why = false, fmt.Sprintf("a difference in the %s below %.3f%s could not be told from chance yet", f.name, chance, f.unit)
 		}
 	}
 	return j
 }
 
+// student is the quantile of Student's distribution that a normal one has at z, for so many degrees of freedom (Abramowitz and Stegun,
+// 26.7.5; from seven on within some hundredths at the z that are used here).
+func student(z float64, free int) float64 {
+	n := float64(max(1, free))
+	z3, z5 := z*z*z, z*z*z*z*z
+	return z + (z3+z)/(4*n) + (5*z5+16*z3+3*z)/(96*n*n) + (3*z5*z*z+19*z5+17*z3-15*z)/(384*n*n*n)
+}
+
 // paired are the differences of a node to the unchanged ones of its zone, before and after its change. Spans in which it was not in, or nobody
 // was there to compare with, are left out.
 func paired(f figure, n Node, nodes []Node) (before, after []float64) {
@@ -195,12 +221,13 @@
 	return sum / float64(len(x))
 }
 
-func deviation(x []float64) float64 {
-	m, sum := mean(x), 0.0
+// deviation is that of what is left after so many means were taken off.
+func deviation(x []float64, means int) float64 {
+	sum := 0.0
 	for _, v := range x {
-		sum += (v - m) * (v - m)
+		sum += v * v
 	}
-	return math.Sqrt(sum / float64(max(1, len(x)-1)))
+	return math.Sqrt(sum / float64(max(1, len(x)-means)))
 }
 
 // Recorder takes the nodes' counts as they report them, and makes spans of them. It is not safe for concurrent use.
