Show the fleet among the metrics: permits, what uses budgets up, how far releases are

An operator saw drains and releases by the command line only; nothing could warn of a release that stands halted, of asks that wait for hours, or of reports that fail. Each node counts its reports and its own permits; the one that grants permits shows who waits and what counts as out, by why, and the one that takes a release along its nodes, wave and halt. They are read where they are kept, when asked for, and forgotten with the duty. Shown by the metrics' test and by a drain of a whole node.

--- a/cmd/sloehitch/drain_test.go
+++ b/cmd/sloehitch/drain_test.go
@@ -78,6 +78,9 @@
 		out, _ := run(fleet + "show out/")
 		return !strings.Contains(out, "out/")
 	})
+	if x := s.fleet.Figures(); x.Out || x.Permits["begun"] != 1 || x.Permits["granted"] != 1 || x.Reports["made"] == 0 {
+		t.Errorf("after one drain the figures are %+v", x)
+	}
 	server := "server=" + first.Address
 	run(fleet + "drain " + server + " --by me --why test")
 	see("out, on every node's word")
--- a/cmd/sloehitch/fleet.go
+++ b/cmd/sloehitch/fleet.go
@@ -355,7 +355,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d.apart = cancel
+	d.apart, d.fleet = cancel, f
 	go func() {
 		f.Serve(ctx)
 		if o.Memory != nil {
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -28,6 +28,7 @@
 	"sloehitch/internal/config"
 	"sloehitch/internal/directory"
 	"sloehitch/internal/endpoint"
+	"sloehitch/internal/fleet"
 	"sloehitch/internal/gate"
 	"sloehitch/internal/handover"
 	"sloehitch/internal/latency"
@@ -89,6 +90,7 @@
 	listeners listeners
 	pulse     *directory.Pulse
 	store     *store.Store
+	fleet     *fleet.Fleet                    // nil where this node has no part in one
 	drained   atomic.Bool                     // out of service by the fleet's permission
 	took      *latency.Window                 // of served requests; nil without a fleet
 	serving   sync.Mutex                      // guards listed and alone
@@ -354,6 +356,9 @@
 	if d.deploy.Load().Ledger.Dir != "" {
 		from.Ledger = d.ledgerStats
 	}
+	if d.fleet != nil {
+		from.Fleet = d.fleet.Figures
+	}
 	m := metrics.New(from)
 	d.metrics.Store(m)
 	return d.serveOn("metrics", func() (net.Listener, error) { return net.Listen("tcp", address) },
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,6 +86,7 @@
 
 	settled settled // in service and well
 	overdue bool    // out for longer than it was to take
+	figures Figures
 }
 
 // New returns a part that does nothing until Serve.
@@ -109,7 +110,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	return &Fleet{opts: o, log: lograte.New(o.Log, time.Second), clock: o.Clock, begun: time.Now(), sight: NewSight(o.Silent), mine: map[string]string{}, wishes: w}, nil
+	return &Fleet{opts: o, log: lograte.New(o.Log, time.Second), clock: o.Clock, begun: time.Now(), sight: NewSight(o.Silent), mine: map[string]string{}, wishes: w,
+		figures: Figures{Reports: map[string]uint64{}, Permits: map[string]uint64{}}}, nil
 }
 
 // member is a member to ask, and its turn: what asks it first now.
@@ -199,6 +201,11 @@
 	if f.opts.Reported != nil {
 		f.opts.Reported(time.Since(begun), err)
 	}
+	ended := "made"
+	if err != nil {
+		ended = "failed"
+	}
+	f.figure(func(x *Figures) { x.Reports[ended]++ })
 	if err != nil {
 		f.log.Warn("no report to the fleet: the node serves on", err)
 	}
--- a/internal/fleet/outs.go
+++ b/internal/fleet/outs.go
@@ -225,6 +225,7 @@
 		o.Leave()
 		agent.Left(f.clock())
 		f.opts.Tell(trial.Event{What: what, ID: id, Duty: s.Ask.Release})
+		f.figure(func(x *Figures) { x.Out = true; x.Permits["begun"]++ })
 		f.opts.Log.Info("this node goes out of service, as permitted", "permit", id, "by", s.Ask.By, "why", s.Ask.Why, "release", s.Ask.Release)
 	}
 	a.Permit.Since = f.opts.Now().UnixMilli()
@@ -236,6 +237,7 @@
 		o.Enter()
 		agent.Entered(f.clock())
 		f.opts.Tell(trial.Event{What: "enters", ID: id})
+		f.figure(func(x *Figures) { x.Out = false })
 		f.opts.Log.Info("this node is in service again", "permit", id)
 		return false
 	case permit.Begin:
@@ -251,6 +253,7 @@
 		what := "warm" // before it is given back: from then on another may have its place
 		if a.Late {
 			what = "late"
+			f.counted("late", 1)
 		}
 		f.opts.Tell(trial.Event{What: what, ID: id})
 	}
@@ -272,6 +275,7 @@
 	if f.opts.Outs.Replace != nil {
 		f.opts.Log.Info("this process is replaced", "by", to)
 		f.opts.Tell(trial.Event{What: "replaced", ID: to})
+		f.counted("replaced", 1)
 		err = f.opts.Outs.Replace(ctx, to)
 	}
 	if err != nil {
@@ -413,6 +417,7 @@
 	k.standing = &standing{Fleet: f, duty: permits, prefix: permit.Prefix, do: k.decide, reset: func() {
 		k.sight = NewSight(f.opts.Silent) // nodes are unknown until they are heard of anew
 		k.keeper = permit.Keeper{Terms: f.opts.Terms, Settle: f.opts.Outs.Settle}
+		f.figure(func(x *Figures) { x.Kept = nil })
 	}}
 	k.serve(ctx)
 }
@@ -459,10 +464,14 @@
 		return false, err
 	}
 	step := k.keeper.Decide(v, k.clock())
+	kept := k.keptOf(v)
+	k.figure(func(x *Figures) { x.Kept = kept })
 	for _, t := range step.Transactions(v, at, permits, token, k.opts.Name, rand.Text) {
 		if err := k.make(t); err != nil && !errors.Is(err, store.ErrConflict) { // what changed meanwhile is decided on anew
 			return false, fmt.Errorf("%s: %w", t.Why, err)
 		}
 	}
+	k.counted("granted", len(step.Grant))
+	k.counted("freed", len(step.Free))
 	return len(v.Asks)+len(v.Permits) == 0, nil
 }
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -38,6 +38,7 @@
 	k.standing = &standing{Fleet: f, duty: release.Duty, prefix: release.Prefix, do: k.goOn, reset: func() {
 		k.sight = NewSight(f.opts.Silent)
 		k.owners, k.judges = map[string]*release.Owner{}, map[string]*verdict.Recorder{}
+		f.figure(func(x *Figures) { x.Releases = nil })
 	}}
 	k.serve(ctx)
 }
@@ -54,6 +55,7 @@
 		k.taken = now
 	}
 	idle = true
+	var rolling []Rolling
 	for _, d := range docs {
 		if !strings.HasPrefix(d.Key, release.Prefix) {
 			continue
@@ -67,6 +69,7 @@
 			continue
 		}
 		idle = false
+		rolling = append(rolling, rollingOf(r, v))
 		if k.owners[r.Name] == nil {
 			k.owners[r.Name], k.judges[r.Name] = &release.Owner{}, verdict.NewRecorder(keptSpans)
 		}
@@ -79,6 +82,7 @@
 			return false, err
 		}
 	}
+	k.figure(func(x *Figures) { x.Releases = rolling })
 	return idle, nil
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"sloehitch/internal/fleet"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
@@ -28,7 +29,8 @@
 	Servers func() []choice.Server
 	Ledger  func() ledger.Stats
 	Classes func() map[string]node.ClassCounts // the counts that the operators' telemetry shows too
-	Config  func() (applied, rejected int)     // configuration files taken and turned down at SIGHUP
+	Fleet   func() fleet.Figures
+	Config  func() (applied, rejected int) // configuration files taken and turned down at SIGHUP
 }
 
 // Metrics is the daemon's figures.
@@ -103,6 +105,15 @@
 	ledgerSick = desc("ledger_broken", "1 if the ledger takes no writes until a restart.")
 	byClass    = desc("class_responses_total", "Final answers by class: ok (served), shed (refused), errors (failed).", "class", "result")
 	classRuns  = desc("class_tries_total", "Runs handed to the runner, by class.", "class")
+	fleetOut   = desc("fleet_out", "1 while this node is out of service by a permit; overdue: for longer than it was to take.", "how")
+	fleetTold  = desc("fleet_reports_total", "Reports to the fleet: made, or failed.", "result")
+	permitted  = desc("fleet_permits_total", "Permits: begun, late (begun too late to go out by) and replaced by this node; granted and freed by it for all.", "what")
+	keptAsks   = desc("fleet_asks_waiting", "Asks without a permit, on the node that grants them.")
+	keptState  = desc("fleet_permits", "Permits by how far they are, on the node that grants them.", "state")
+	keptOut    = desc("fleet_counted_out", "Nodes and servers that count as out, by why, on the node that grants permits.", "why")
+	rollNodes  = desc("release_nodes", "Nodes of a release, on the node that takes it through the fleet: all, and changed.", "release", "which")
+	rollWave   = desc("release_wave", "The wave of a release that is at work, from 1.", "release", "state")
+	rollHalted = desc("release_halted", "1 while a release is halted.", "release")
 	reloads    = desc("config_reloads_total", "Configuration files at SIGHUP, taken (applied) or turned down (rejected).", "result")
 )
 
@@ -141,6 +152,9 @@
 		send(reloads, total, float64(applied), "applied")
 		send(reloads, total, float64(rejected), "rejected")
 	}
+	if c.from.Fleet != nil {
+		c.fleet(send)
+	}
 	if c.from.Resp != nil {
 		send(conns, now, float64(c.from.Resp()), "resp")
 	}
@@ -176,3 +190,38 @@
 		send(ledgerSick, now, broken)
 	}
 }
+
+// fleet sends the figures of this node's part in the fleet.
+func (c *collector) fleet(send func(d *prometheus.Desc, kind prometheus.ValueType, v float64, labels ...string)) {
+	const total, now = prometheus.CounterValue, prometheus.GaugeValue
+	x := c.from.Fleet()
+	flag := func(is bool) float64 {
+		if is {
+			return 1
+		}
+		return 0
+	}
+	send(fleetOut, now, flag(x.Out), "by permit")
+	send(fleetOut, now, flag(x.Overdue), "overdue")
+	for _, result := range []string{"made", "failed"} {
+		send(fleetTold, total, float64(x.Reports[result]), result)
+	}
+	for _, what := range []string{"begun", "late", "replaced", "granted", "freed"} {
+		send(permitted, total, float64(x.Permits[what]), what)
+	}
+	if x.Kept != nil {
+		send(keptAsks, now, float64(x.Kept.Waiting))
+		for state, n := range x.Kept.Permits {
+			send(keptState, now, float64(n), string(state))
+		}
+		for why, n := range x.Kept.Out {
+			send(keptOut, now, float64(n), string(why))
+		}
+	}
+	for _, r := range x.Releases {
+		send(rollNodes, now, float64(r.Nodes), r.Name, "all")
+		send(rollNodes, now, float64(r.Changed), r.Name, "changed")
+		send(rollWave, now, float64(r.Wave), r.Name, string(r.State))
+		send(rollHalted, now, flag(r.Halted), r.Name)
+	}
+}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -7,9 +7,12 @@
 	"testing"
 	"time"
 
+	"sloehitch/internal/budget"
+	"sloehitch/internal/fleet"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
+	"sloehitch/internal/permit"
 	"sloehitch/internal/standin"
 	"sloehitch/internal/uwsgi"
 	"sloehitch/internal/uwsgi/choice"
@@ -51,6 +54,10 @@
 			return map[string]node.ClassCounts{"book": {Served: 4, Refused: 2, Ran: 5}}
 		},
 		Config: func() (int, int) { return 2, 1 },
+		Fleet: func() fleet.Figures {
+			return fleet.Figures{Out: true, Reports: map[string]uint64{"failed": 4}, Permits: map[string]uint64{"granted": 6}, Kept: &fleet.Kept{Waiting: 3, Permits: map[permit.State]int{permit.Begun: 2}, Out: map[budget.Reason]int{budget.Silent: 5}},
+				Releases: []fleet.Rolling{{Name: "r", State: "running", Halted: true, Nodes: 9, Changed: 7, Wave: 2}}}
+		},
 	}, uwsgi.RunTimes{Started: at, Tries: []uwsgi.TryTimes{{Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second)}}, Done: at.Add(4 * time.Second), Outcome: "ok"},
 		uwsgi.RunTimes{Started: at, Done: at.Add(time.Second), Outcome: "moot"})
 	for _, line := range []string{`sloehitch_requests_total{outcome="refused"} 3`, `sloehitch_bookings_unrecorded_total 1`, `sloehitch_tries_abroad_total{how="waited"} 6`, `sloehitch_tries_abroad_total{how="heard"} 8`, `sloehitch_requests_in_hand 2`,
@@ -59,7 +66,9 @@
 		`sloehitch_ledger_broken 1`, `sloehitch_uwsgi_run_seconds_sum{outcome="ok",stage="first_byte"} 3`,
 		`sloehitch_uwsgi_run_seconds_count{outcome="moot",stage="done"} 1`, `go_goroutines`,
 		`sloehitch_class_responses_total{class="book",result="ok"} 4`, `sloehitch_class_responses_total{class="book",result="shed"} 2`,
-		`sloehitch_class_tries_total{class="book"} 5`, `sloehitch_config_reloads_total{result="rejected"} 1`} {
+		`sloehitch_class_tries_total{class="book"} 5`, `sloehitch_fleet_out{how="by permit"} 1`, `sloehitch_fleet_out{how="overdue"} 0`, `sloehitch_fleet_reports_total{result="failed"} 4`,
+		`sloehitch_fleet_permits_total{what="granted"} 6`, `sloehitch_fleet_permits_total{what="begun"} 0`, `sloehitch_fleet_asks_waiting 3`, `sloehitch_fleet_permits{state="begun"} 2`, `sloehitch_fleet_counted_out{why="silent"} 5`,
+		`sloehitch_release_nodes{release="r",which="changed"} 7`, `sloehitch_release_wave{release="r",state="running"} 2`, `sloehitch_release_halted{release="r"} 1`, `sloehitch_config_reloads_total{result="rejected"} 1`} {
 		if !strings.Contains(all, "\n"+line) {
 			t.Errorf("no line %q", line)
 		}
@@ -67,7 +76,7 @@
 	if strings.Contains(all, `outcome="moot",stage="connected"`) {
 		t.Error("a stage that was not reached is counted")
 	}
-	if few := get(Sources{Core: func() (node.Counts, int, int) { return node.Counts{}, 0, 0 }}); strings.Contains(few, "ledger") || strings.Contains(few, "uwsgi") {
+	if few := get(Sources{Core: func() (node.Counts, int, int) { return node.Counts{}, 0, 0 }}); strings.Contains(few, "ledger") || strings.Contains(few, "fleet") || strings.Contains(few, "uwsgi") {
 		t.Errorf("figures of parts that are off:\n%s", few)
 	}
 }
