--- a/internal/fleetrig/drains.go
+++ b/internal/fleetrig/drains.go
@@ -30,10 +30,11 @@
 // Drained is how nodes went out and came back in a run.
 type Drained struct {
 	Asked, Begun, Replaced, Halts, Keepers int
-	Killed                                 int // while out
-	Late                                   int // that had their beginning agreed on and did not go out, or were freed
-	Most                                   int // out at once
-	Over, Undone, Backs, ByItself          int // releases that went through or back; asked to go back, and halted by themselves
+	Killed                                 int            // while out
+	Late                                   int            // that had their beginning agreed on and did not go out, or were freed
+	Most                                   int            // out at once
+	Over, Undone, Backs, ByItself          int            // releases that went through or back; asked to go back, and halted by themselves
+	Met                                    map[string]int // hard cases, by fault and what its node was at: "kill while out", "stop of who releases"
 }
 
 // rules are the budgets of a run.
@@ -272,6 +273,9 @@
 		d.blame("%v", err)
 		return
 	}
+	d.mu.Lock()
+	d.report.Drains.Met = met(all, d.calls)
+	d.mu.Unlock()
 	d.report.Wrong = append(d.report.Wrong, checkDrains(all, d.halts, &d.report.Drains)...)
 }
 
@@ -322,3 +326,46 @@
 	count.Halts += len(halts)
 	return wrong
 }
+
+// met counts the hard cases that a run has met: processes that were killed, stopped, told to leave or cut off in the midst of going out and
+// coming back, or while they had a duty or led the store. A fault of a process that had another already counts for nothing.
+func met(all []told, calls []called) map[string]int {
+	count := map[string]int{}
+	held := spans(all)
+	of := map[string]string{"permits": "who grants permits", "release": "who releases", "store": "the store's leader"}
+	at := map[string]string{"begins out": "out", "goes on out": "out", "replaced": "replaced", "enters": "back"}
+	for i, c := range calls {
+		switch c.Kind {
+		case Kill, Stop, Leave, Isolate:
+		default:
+			continue
+		}
+		node, other := c.Nodes[0], false
+		for j, o := range calls {
+			other = other || i != j && o.Nodes[0] == node && (o.Kind == Kill || o.Kind == Stop || o.Kind == Leave) && o.from <= c.from && c.from < o.to
+		}
+		if other {
+			continue
+		}
+		state := ""
+		for _, e := range all {
+			if e.Node != node || e.At > c.from {
+				continue
+			}
+			if to, goes := at[e.What]; goes {
+				state = to
+			} else if e.What == "warm" || e.What == "late" {
+				state = ""
+			}
+		}
+		if state != "" {
+			count[fmt.Sprintf("%s while %s", c.Kind, state)]++
+		}
+		for _, s := range held {
+			if who := of[s.What]; who != "" && s.Node == node && s.From <= c.from && c.from < s.To {
+				count[fmt.Sprintf("%s of %s", c.Kind, who)]++
+			}
+		}
+	}
+	return count
+}
