--- a/internal/emulator/release.go
+++ b/internal/emulator/release.go
@@ -73,7 +73,7 @@
 var releaseTerms = lease.Terms{Length: 10 * time.Second, Drift: 0.02, Margin: time.Second}
 
 // judged is by which terms, as in package fleet.
-var judged = verdict.Terms{FalseAlarm: 0.01, Looks: 200, Least: 8}
+var judged = verdict.Terms{FalseAlarm: 0.01, Looks: 200, Least: 8, Smooth: int(latency.Longest / releaseReport)}
 
 // version is what a node runs, and what it has done by it.
 type version struct {
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sloehitch/internal/document"
+	"sloehitch/internal/latency"
 	"sloehitch/internal/lease"
 	"sloehitch/internal/permit"
 	"sloehitch/internal/release"
@@ -17,8 +18,11 @@
 	"sloehitch/internal/verdict"
 )
 
-// verdicts are the terms by which releases are judged.
-var verdicts = verdict.Terms{FalseAlarm: 0.01, Looks: 200, Least: 8}
+// verdicts are the terms by which releases are judged, with spans of two reports.
+func (f *Fleet) verdicts() verdict.Terms {
+	span := 2 * f.opts.Every
+	return verdict.Terms{FalseAlarm: 0.01, Looks: 200, Least: 8, Smooth: int((latency.Longest + span - 1) / span)}
+}
 
 // keptSpans is how many spans of reports are kept to compare by.
 const keptSpans = 400
@@ -76,7 +80,7 @@
 		if span {
 			k.judges[r.Name].Take(r.Reports(v, k.opts.Outs.Settle))
 		}
-		j := verdict.Judge(verdicts, k.judges[r.Name].Nodes())
+		j := verdict.Judge(k.verdicts(), k.judges[r.Name].Nodes())
 		step := k.owners[r.Name].Next(r, v, j, k.opts.Outs.Settle, now)
 		if err := k.take(r, step, v, at, token); err != nil && !errors.Is(err, store.ErrConflict) {
 			return false, err
--- a/internal/latency/latency.go
+++ b/internal/latency/latency.go
@@ -11,6 +11,9 @@
 // span is the stretch that one histogram is of; a window is the one that goes on and the one before.
 const span = 10 * time.Second
 
+// Longest is over how much time a quantile may be taken: values closer to one another than that have requests in common.
+const Longest = 2 * span
+
 // Bounds of what is told apart: 100 us to a minute, to two digits (some 20 KB a histogram).
 const (
 	least  = int64(100)              // microseconds
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -29,6 +29,8 @@
 	least float64 // a difference below this is no matter
 	most  float64 // one of this much is to be seen, before a version is called no worse
 	unit  string
+
+	smoothed bool // over Terms.Smooth spans
 }
 
 func share(part func(Span) float64) func(Span) (float64, bool) {
@@ -39,9 +41,9 @@
 }
 
 var figures = []figure{
-	{"failed share", share(func(s Span) float64 { return s.Failed }), 0.01, 0.05, ""},
-	{"refused share", share(func(s Span) float64 { return s.Refused }), 0.03, 0.15, ""},
-	{"99th percentile of latency", func(s Span) (float64, bool) { return math.Log(max(s.P99MS, 0.01)), s.P99MS > 0 }, math.Log(1.3), math.Log(2.5), " (log)"},
+	{"failed share", share(func(s Span) float64 { return s.Failed }), 0.01, 0.05, "", false},
+	{"refused share", share(func(s Span) float64 { return s.Refused }), 0.03, 0.15, "", false},
+	{"99th percentile of latency", func(s Span) (float64, bool) { return math.Log(max(s.P99MS, 0.01)), s.P99MS > 0 }, math.Log(1.3), math.Log(2.5), " (log)", true},
 }
 
 // Terms are how certain a verdict is to be.
@@ -49,6 +51,9 @@
 	FalseAlarm float64 // chance that a release of a good version is called worse, over all looks at it: 0.01
 	Looks      int     // at most, over the release
 	Least      int     // spans of a node on either side of its change that are wanted
+	// Smooth is over how many spans a reported percentile is taken: values closer to one another than that are not independent, and count
+	// for one. 0 and 1: each is of its own span.
+	Smooth int
 }
 
 // Node is one node's spans, oldest first, of the same stretches for all nodes: Spans[i] is of the same time in each. Known says which of them
@@ -163,11 +168,15 @@
 			part := float64(n[1]) / float64(len(all))
 			share += part * part / float64(n[0])
 		}
-		chance := student(z, len(rest)-len(mine)-1) * deviation(rest, len(mine)+1) * math.Sqrt(share)
+		alike := 1
+		if f.smoothed {
+			alike = max(1, t.Smooth)
+		}
+		chance := student(z, (len(rest)-len(mine)-1)/alike) * deviation(rest, len(mine)+1) * math.Sqrt(share*float64(alike))
 		switch {
 		case m > f.least && m > chance:
 			return Judgement{Worse: true, Sure: true, Why: fmt.Sprintf("%s of the changed nodes is %.3f%s above the others' of their zones, where %.3f would be chance", f.name, m, f.unit, max(f.least, chance))}
-		case chance > f.most && j.Sure:
+		case alike == 1 && chance > f.most && j.Sure: // what is smoothed takes too long to wait for
 			j.Sure, j.Why = false, fmt.Sprintf("a difference in the %s below %.3f%s could not be told from chance yet", f.name, chance, f.unit)
 		}
 	}
