Drop a release's count of changed nodes, which nobody read and each node paid for

Each node that came back had the owner write the release anew, only to keep a count that Progress and the metrics make from the nodes' reports anyway; each such write had the asks of the same turn decided again. The field and the write are gone; documents that still have it are read as before. The model of releases and its four mutants hold as they did.

--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -32,20 +32,19 @@
 
 // Release is a release as the store keeps it.
 type Release struct {
-	Name    string            `json:"name"`
-	To      string            `json:"to"` // what nodes are to report as deployed
-	By      string            `json:"by"`
-	Why     string            `json:"why"`
-	At      int64             `json:"at"`    // Unix milliseconds; for people
-	Waves   [][]string        `json:"waves"` // nodes, in the order of going
-	From    map[string]string `json:"from"`  // what each reported as deployed before; one that is missing can't go back
-	State   State             `json:"state"`
-	Wave    int               `json:"wave"`      // that is at work
-	SoakMS  int64             `json:"soak_ms"`   // for which a wave is watched once all of it is back
-	LateMS  int64             `json:"late_ms"`   // in which a node should be back, from when it went out
-	Within  int64             `json:"within_ms"` // in which it should be empty
-	Note    string            `json:"note,omitempty"`
-	Changed int               `json:"changed"` // nodes that have been, so far
+	Name   string            `json:"name"`
+	To     string            `json:"to"` // what nodes are to report as deployed
+	By     string            `json:"by"`
+	Why    string            `json:"why"`
+	At     int64             `json:"at"`    // Unix milliseconds; for people
+	Waves  [][]string        `json:"waves"` // nodes, in the order of going
+	From   map[string]string `json:"from"`  // what each reported as deployed before; one that is missing can't go back
+	State  State             `json:"state"`
+	Wave   int               `json:"wave"`      // that is at work
+	SoakMS int64             `json:"soak_ms"`   // for which a wave is watched once all of it is back
+	LateMS int64             `json:"late_ms"`   // in which a node should be back, from when it went out
+	Within int64             `json:"within_ms"` // in which it should be empty
+	Note   string            `json:"note,omitempty"`
 }
 
 // Check errs on a release that can't be done, naming what is wrong.
@@ -188,12 +187,8 @@
 		return step
 	}
 	next := r
-	next.Changed = changed
 	if open > 0 {
 		o.is = false
-		if changed != r.Changed {
-			return Step{Next: &next}
-		}
 		return Step{}
 	}
 	if !o.is || o.wave != r.Wave {
@@ -262,7 +257,7 @@
 		}
 	}
 	next := r
-	next.State, next.Wave, next.Changed = Undone, 0, 0
+	next.State, next.Wave = Undone, 0
 	var stay []string
 	for _, w := range r.Waves {
 		for _, n := range w {
