Draw a whole release: nodes out and on their way back, its waves, owners and faults

The rig's time line had duties, leads and faults, but not what it was all about. It has a row for each node's time out by a permit and its way back, and one for each release's waves, from what the processes themselves told.

--- a/internal/fleetrig/chart.go
+++ b/internal/fleetrig/chart.go
@@ -13,7 +13,7 @@
 // Span is a stretch of a run, for people and charts.
 type Span struct {
 	Row      string        `json:"row"`  // a node and what it holds, or a fault
-	Kind     string        `json:"kind"` // "duty", "lead" or "fault"
+	Kind     string        `json:"kind"` // "duty", "lead", "fault", "out" (of service by a permit), "back" (in again and not yet warm) or "release"
 	From, To time.Duration // since the first of them
 }
 
@@ -31,6 +31,9 @@
 		}
 		list = append(list, Span{row, kind, since(s.From), since(s.To)})
 	}
+	for _, s := range outs(all) {
+		list = append(list, Span{s.Row, s.Kind, since(lease.Instant(s.From)), since(lease.Instant(s.To))})
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.calls {
@@ -42,3 +45,45 @@
 	})
 	return list
 }
+
+// outs are the stretches in which nodes were out by permits or on their way back, and each state and wave of each release. Their instants are
+// those of the events; what has no end reaches to the last one.
+func outs(all []told) (list []Span) {
+	open := map[string]int{}
+	end := func(row string, at lease.Instant) {
+		if i, is := open[row]; is {
+			list[i].To = time.Duration(at)
+			delete(open, row)
+		}
+	}
+	begin := func(row, kind string, at lease.Instant) {
+		end(row, at)
+		open[row] = len(list)
+		list = append(list, Span{row, kind, time.Duration(at), 0})
+	}
+	for _, e := range all {
+		node := fmt.Sprintf("n%d out", e.Node)
+		switch e.What {
+		case "begins out", "goes on out":
+			begin(node, "out", e.At)
+		case "enters":
+			begin(node, "back", e.At)
+		case "warm", "late":
+			end(node, e.At)
+		case "release":
+			if row := "release " + e.Duty; e.ID == "over" || e.ID == "undone" {
+				end(row, e.At)
+			} else {
+				begin(row, "release", e.At)
+			}
+		case "halts":
+			end("release "+e.Duty, e.At)
+		}
+	}
+	if len(all) > 0 {
+		for row := range open {
+			list[open[row]].To = time.Duration(all[len(all)-1].At)
+		}
+	}
+	return list
+}
--- a/internal/fleetrig/events_test.go
+++ b/internal/fleetrig/events_test.go
@@ -1,6 +1,7 @@
 package fleetrig
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -45,3 +46,15 @@
 		t.Errorf("a wish that was not applied: %v", got)
 	}
 }
+
+// TestOuts: a node's time out and its way back, and a release's waves, one after another.
+func TestOuts(t *testing.T) {
+	tell := func(node int, at lease.Instant, what, duty, id string) told {
+		return told{node, trial.Event{At: at, What: what, Duty: duty, ID: id}}
+	}
+	got := fmt.Sprint(outs([]told{tell(0, 10, "release", "r", "running"), tell(1, 20, "begins out", "r", "p"), tell(1, 40, "enters", "", "p"), tell(1, 60, "warm", "", "p"),
+		tell(0, 70, "release", "r", "running"), tell(2, 80, "begins out", "", "q"), tell(0, 90, "halts", "r", "worse")}))
+	if want := "[{release r release 10ns 70ns} {n1 out out 20ns 40ns} {n1 out back 40ns 60ns} {release r release 70ns 90ns} {n2 out out 80ns 90ns}]"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
