Tell how far a release is in one place, and count who is out once a turn

Found on reading the change again: the metrics' count of a release's nodes (fleet.rollingOf) was that of release.Progress over again, and the keeper of permits counted all members twice a turn, once to decide and once for its figures. release.StandOf serves the command line and the metrics now; permit.Step carries what the budgets counted.

--- a/internal/fleet/outs.go
+++ b/internal/fleet/outs.go
@@ -464,7 +464,7 @@
 		return false, err
 	}
 	step := k.keeper.Decide(v, k.clock())
-	kept := k.keptOf(v)
+	kept := keptOf(v, step.Counted)
 	k.figure(func(x *Figures) { x.Kept = kept })
 	for _, t := range step.Transactions(v, at, permits, token, k.opts.Name, rand.Text) {
 		if err := k.make(t); err != nil && !errors.Is(err, store.ErrConflict) { // what changed meanwhile is decided on anew
--- a/internal/fleet/releases.go
+++ b/internal/fleet/releases.go
@@ -59,7 +59,7 @@
 		k.taken = now
 	}
 	idle = true
-	var rolling []Rolling
+	var rolling []release.Stand
 	for _, d := range docs {
 		if !strings.HasPrefix(d.Key, release.Prefix) {
 			continue
@@ -73,7 +73,7 @@
 			continue
 		}
 		idle = false
-		rolling = append(rolling, rollingOf(r, v))
+		rolling = append(rolling, release.StandOf(r, v))
 		if k.owners[r.Name] == nil {
 			k.owners[r.Name], k.judges[r.Name] = &release.Owner{}, verdict.NewRecorder(keptSpans)
 		}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -13,6 +13,7 @@
 	"sloehitch/internal/limits"
 	"sloehitch/internal/node"
 	"sloehitch/internal/permit"
+	"sloehitch/internal/release"
 	"sloehitch/internal/standin"
 	"sloehitch/internal/uwsgi"
 	"sloehitch/internal/uwsgi/choice"
@@ -56,7 +57,7 @@
 		Config: func() (int, int) { return 2, 1 },
 		Fleet: func() fleet.Figures {
 			return fleet.Figures{Out: true, Reports: map[string]uint64{"failed": 4}, Permits: map[string]uint64{"granted": 6}, Kept: &fleet.Kept{Waiting: 3, Permits: map[permit.State]int{permit.Begun: 2}, Out: map[budget.Reason]int{budget.Silent: 5}},
-				Releases: []fleet.Rolling{{Name: "r", State: "running", Halted: true, Nodes: 9, Changed: 7, Wave: 2}}}
+				Releases: []release.Stand{{Name: "r", State: "running", Halted: true, Nodes: 9, Changed: 7, Wave: 2}}}
 		},
 	}, uwsgi.RunTimes{Started: at, Tries: []uwsgi.TryTimes{{Connected: at.Add(time.Millisecond), FirstByte: at.Add(3 * time.Second)}}, Done: at.Add(4 * time.Second), Outcome: "ok"},
 		uwsgi.RunTimes{Started: at, Done: at.Add(time.Second), Outcome: "moot"})
--- a/internal/permit/keep.go
+++ b/internal/permit/keep.go
@@ -133,6 +133,7 @@
 	Requeue []string // whose ask goes to the end of the line
 	Lapse   []string // whose ask ends by itself
 	Refused []budget.Refusal
+	Counted []budget.Member // as the budgets counted them
 }
 
 // Keeper decides on permits for the whole fleet. It is one process's, of which others may take the place at any time; what it remembers
@@ -194,7 +195,8 @@
 			asks = append(asks, budget.Ask{Member: name, By: a.By, Urgent: a.Urgent, Order: v.Orders[name]})
 		}
 	}
-	d := budget.Decide(v.Rules, v.Counted(k.Settle), asks) // what is freed now counts until the next time
+	s.Counted = v.Counted(k.Settle)
+	d := budget.Decide(v.Rules, s.Counted, asks) // what is freed now counts until the next time
 	for _, a := range d.Granted {
 		if len(s.Grant) < MostAtOnce {
 			s.Grant = append(s.Grant, a.Member)
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -272,28 +272,43 @@
 	return Step{Next: &next}
 }
 
-// Progress is how far a release is, for people.
-func Progress(r Release, v permit.View) string {
-	done, out, asked, all := 0, 0, 0, 0
-	release := map[string]string{}
+// Stand is how far a release is.
+type Stand struct {
+	Name           string
+	State          State
+	Halted         bool
+	Nodes, Changed int // in all, and that run what they are to
+	Out, Waiting   int // of its asks: begun, and not
+	Wave, Waves    int // that is at work, from 1, and in all
+}
+
+// StandOf is how far a release is by what is seen.
+func StandOf(r Release, v permit.View) Stand {
+	x := Stand{Name: r.Name, State: r.State, Halted: v.Halted[r.Name] || v.Halted[permit.All], Wave: r.Wave + 1, Waves: len(r.Waves)}
+	deployed := map[string]string{}
 	for _, s := range v.Members {
-		release[s.Name] = s.Report.Release
+		deployed[s.Name] = s.Report.Release
 	}
 	for _, w := range r.Waves {
 		for _, n := range w {
-			all++
-			if release[n] == r.To {
-				done++
+			if x.Nodes++; deployed[n] == r.To {
+				x.Changed++
 			}
 			if p, is := v.Permits[n]; is && v.Asks[n].Release == r.Name && p.State != permit.Granted {
-				out++
+				x.Out++
 			} else if v.Asks[n].Release == r.Name {
-				asked++
+				x.Waiting++
 			}
 		}
 	}
-	line := fmt.Sprintf("%s to %s: %s, wave %d of %d, %d of %d nodes changed, %d out, %d wait", r.Name, r.To, r.State, r.Wave+1, len(r.Waves), done, all, out, asked)
-	if v.Halted[r.Name] || v.Halted[permit.All] {
+	return x
+}
+
+// Progress is how far a release is, for people.
+func Progress(r Release, v permit.View) string {
+	x := StandOf(r, v)
+	line := fmt.Sprintf("%s to %s: %s, wave %d of %d, %d of %d nodes changed, %d out, %d wait", r.Name, r.To, r.State, x.Wave, x.Waves, x.Changed, x.Nodes, x.Out, x.Waiting)
+	if x.Halted {
 		line += ", HALTED"
 	}
 	if r.Note != "" {
