Log what a broken runtime link leaves unanswered, and each step of a request at debug

Cause: the records of the starts that came twice could not tell which commands were unconfirmed as a link broke, which were sent again and on which link, nor why a connection was closed.

Measured: tests of node, resp, runtime and cmd/sloehitch passed; at info no line is added per request.

--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -182,12 +182,13 @@
 }
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	level := new(slog.LevelVar)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	grammar := any(&cli)
 	if len(os.Args) > 1 && os.Args[1] == "serve" {
 		grammar = &serving
 	}
-	ctx := kong.Parse(grammar, kong.Name("sloehitch"), kong.Bind(log),
+	ctx := kong.Parse(grammar, kong.Name("sloehitch"), kong.Bind(log, level),
 		kong.Description("Decides on a server which requests run, wait or are refused."))
 	err := ctx.Run(log)
 	var code exitCode
--- a/cmd/sloehitch/rules_test.go
+++ b/cmd/sloehitch/rules_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -290,7 +291,7 @@
 	hold, started := make(chan struct{}), make(chan struct{}, 1)
 	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { started <- struct{}{}; <-hold; return "OK", "r" })
 	address := standin.Free(t)
-	c := serveCmd{files{Config: filepath.Join(t.TempDir(), "config.json"), Deploy: "none.toml"}}
+	c := serveCmd{files: files{Config: filepath.Join(t.TempDir(), "config.json"), Deploy: "none.toml"}}
 	configure := func(text string) {
 		if err := os.WriteFile(c.Config, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
@@ -298,7 +299,7 @@
 	}
 	configure(standin.Config(address, rt.Address, "", ample))
 	stopped := make(chan error, 1)
-	go func() { stopped <- c.Run(standin.Quiet) }()
+	go func() { stopped <- c.Run(standin.Quiet, new(slog.LevelVar)) }()
 	signalSelf := func(sig syscall.Signal) {
 		if err := syscall.Kill(os.Getpid(), sig); err != nil {
 			t.Fatal(err)
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -52,9 +52,13 @@
 	"sloehitch/logic"
 )
 
-type serveCmd struct{ files }
+type serveCmd struct {
+	files
+	LogLevel slog.Level `help:"The least level that is logged: debug has each step of each request, and why each connection was closed." default:"info" env:"SLOEHITCH_LOG_LEVEL"`
+}
 
-func (c *serveCmd) Run(log *slog.Logger) error {
+func (c *serveCmd) Run(log *slog.Logger, level *slog.LevelVar) error {
+	level.Set(c.LogLevel)
 	hup, stop := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // first of all: left alone they end the process
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,7 @@
 	next    uint64
 	keys    *keyTable
 	log     *lograte.Logger
+	traced  bool      // each step of each request is logged
 	leaving time.Time // when the notice to leave came; zero: it did not
 	kill    time.Time
 	open    int // requests that are owed an answer
@@ -205,7 +206,7 @@
 // New returns a node; Serve makes it work.
 func New(o Options) *Node {
 	n := &Node{opts: o, classes: map[string]*ClassCounts{}, byID: map[string]*request{}, byNum: map[uint64]*request{},
-		log: lograte.New(o.Log, o.Limits.LogEvery)}
+		log: lograte.New(o.Log, o.Limits.LogEvery), traced: traced(o.Log)}
 	// Called with n.mu held: the settings are those of the latest Retune.
 	window := func(class int) time.Duration { return span(n.opts.Settings.Classes[class].Window) }
 	n.keys = newKeyTable(o.Limits.Keys, o.Limits.KeptResults, o.Limits.KeySlack, window)
@@ -284,6 +285,9 @@
 	if r.due.Before(now) {
 		r.due = now
 	}
+	if n.byID[q.ID] != nil {
+		n.trace("an id that is in hand already", r)
+	}
 	if n.byID[q.ID] != nil || len(n.byNum) >= n.opts.Limits.Requests || class.Effect == logic.Keyed && q.Key == "" {
 		// A second request of the same name, a crowd beyond our own memory, or a keyed one whose repeats could
 		// not be told: it is answered and never known.
@@ -292,6 +296,7 @@
 		return
 	}
 	n.open++
+	n.trace("read", r, "age", now.Sub(stamp))
 	if r.Key != "" {
 		r.digest = digest(class.Name, &q)
 		if e := n.keys.key(r); e != nil && e.digest != r.digest {
@@ -370,6 +375,7 @@
 		return
 	}
 	r.settled, r.gone = true, true
+	n.trace("its caller is gone", r)
 	n.counts.Gone++
 	n.closed(r)
 	n.forsaken(r)
@@ -425,6 +431,7 @@
 		n.class(r).Failed++
 		a.Late = n.opts.Clock.Now().After(r.due.Add(-n.grace()))
 	}
+	n.trace("answered", r, "kind", a.Kind, "due_in", r.due.Sub(n.opts.Clock.Now()))
 	r.reply(a)
 	n.closed(r)
 }
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"sloehitch/internal/gate"
@@ -104,6 +105,7 @@
 		r.wait.Stop()
 	}
 	r.stage = runs
+	n.trace("started", r)
 	n.counts.Ran++
 	n.class(r).Ran++
 	class := &n.opts.Settings.Classes[r.Class]
@@ -124,6 +126,7 @@
 	case e.over:
 		n.finishJoin(r, e)
 	default:
+		n.trace("waits for the run of its key", r, "run", e.owner.ID)
 		n.counts.Joined++
 		r.stage = joined
 		e.waiting = append(e.waiting, r)
@@ -148,9 +151,13 @@
 func (n *Node) Ended(id string, o gate.Outcome, took time.Duration, result []byte) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r := n.byID[id]; r != nil && r.stage == runs {
-		n.finish(r, o, took, result)
+	r := n.byID[id]
+	if r == nil || r.stage != runs {
+		n.traceUnknown("an end of a run that is not in hand", id, o)
+		return
 	}
+	n.trace("its run has ended", r, "outcome", o, "took", took)
+	n.finish(r, o, took, result)
 }
 
 // finish ends a request's run: it answers it and all that waited for it.
@@ -165,6 +172,7 @@
 	}
 	if e := n.keys.entries[r.Key]; r.Key != "" && e != nil && e.owner == r && started {
 		if o == logic.Moot {
+			n.log.Warn("a keyed run was not started: its key is free again", fmt.Errorf("request %s, key %s", r.ID, r.Key))
 			e.ran = false // nothing was started: drop hands the key to whoever waits
 			if n.opts.Journal != nil {
 				n.opts.Journal.Withdraw(n.booking(r))
@@ -202,6 +210,7 @@
 		return
 	}
 	r.wants, r.call = pos, body
+	n.trace("stands at a call", r, "notice", pos)
 	n.opts.Gate.Report(gate.AtCall(r.num))
 }
 
@@ -234,6 +243,7 @@
 		return
 	}
 	r.calling = false
+	n.trace("its call has ended", r, "outcome", o, "took", took)
 	if o == logic.OK && r.wants != 0 {
 		r.wants, r.call = 0, nil
 		r.Runner.Give(r.ID, reply)
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -152,6 +151,7 @@
 			g := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
 				limit: lim.Message, since: time.Now()}
 			if g.seat = l.f.seats.Take(func() { l.f.evict(g) }); g.seat == nil {
+				l.f.opts.Log.Debug("a new connection is closed: there is no place for it", "peer", c.RemoteAddr())
 				c.Close()
 				continue
 			}
@@ -168,6 +168,7 @@
 // evict ends a connection that made room for another. Its last answers may be on their way, so it ends from this side
 // and has limits.Linger to end from the other. For that it holds a descriptor beyond the seats: a few may at once.
 func (f *Front) evict(g *guarded) {
+	f.opts.Log.Debug("a connection makes room for another", "peer", g.RemoteAddr())
 	linger.CloseWrite(g.Conn)
 	f.evicting.Lock()
 	defer f.evicting.Unlock()
@@ -347,8 +348,8 @@
 	k.mu.Unlock()
 	if !gone {
 		k.front.log.Warn("bad message: the connection is closed", err)
-	} else if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		k.front.opts.Log.Debug("connection lost", "error", err)
+	} else {
+		k.front.opts.Log.Debug("nothing more is read from a connection", "peer", k.net.RemoteAddr(), "error", err, "open", ids)
 	}
 	for _, id := range ids {
 		if gone {
@@ -594,6 +595,7 @@
 
 // cut closes the socket now; the reader sees it and tells the core. k.mu is held.
 func (k *conn) cut() {
+	k.front.opts.Log.Debug("a connection is cut", "peer", k.net.RemoteAddr(), "unread", len(k.out), "open", len(k.open))
 	k.dead, k.lost = true, true
 	k.front.unread.Add(-int64(len(k.out)))
 	k.out = nil
@@ -654,5 +656,6 @@
 // ask asks the balancer to close the connection; k.mu is held.
 func (k *conn) ask(now time.Time) {
 	k.finAt = now
+	k.front.opts.Log.Debug("a peer is asked to close", "peer", k.net.RemoteAddr())
 	k.queue("0", "FIN", nil, nil)
 }
--- a/internal/runtime/link.go
+++ b/internal/runtime/link.go
@@ -267,7 +267,8 @@
 		if time.Since(began) > l.opts.Limits.RetryMost || moved {
 			wait = l.opts.Limits.RetryLeast // it was up: begin anew
 		}
-		l.opts.Log.Info("no link to the runtime", "address", address, "error", err, "retry", wait, "moved", moved)
+		l.opts.Log.Info("no link to the runtime", "address", address, "error", err, "retry", wait, "moved", moved, "link", l.count(),
+			"up", time.Since(began).Round(time.Millisecond), "unheard", l.unheard())
 		if moved {
 			continue
 		}
@@ -279,6 +280,30 @@
 	}
 }
 
+// count is how many links there were so far.
+func (l *Link) count() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links
+}
+
+// unheardMost bounds how many runs a log line names.
+const unheardMost = 8
+
+// unheard names runs whose start or reply was written, and of which nothing was heard since.
+func (l *Link) unheard() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for id, j := range l.jobs {
+		if j.written > 0 && (j.start != nil || j.reply != nil) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids[:min(len(ids), unheardMost)]
+}
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.mu.Lock()
@@ -342,6 +367,7 @@
 				}
 			}
 			l.queue = append(slices.Clone(lines[i:]), l.queue...)
+			l.opts.Log.Info("commands not written whole go out with the next link", "link", l.links, "commands", len(lines)-i, "first_left", -n)
 			return
 		}
 	}
@@ -507,7 +533,7 @@
 func (l *Link) ready(m notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.opts.Log.Info("runtime ready", "state", m.Code, "up_ms", m.WallMS)
+	l.opts.Log.Info("runtime ready", "state", m.Code, "up_ms", m.WallMS, "link", l.links, "read_to", l.pos)
 	l.synced, l.resent = true, false
 	if len(l.jobs) > 0 && !l.whole {
 		l.queue = append([]queued{{line: encode(command{Action: "gauges", Echo: barrier})}}, l.queue...)
@@ -542,8 +568,10 @@
 			lost = append(lost, id)
 		case j.written == 0 || j.written == l.links: // in the queue, or written on this link
 		case j.start != nil:
+			l.opts.Log.Info("a start is sent again", "request", id, "on", j.written, "link", l.links, "after", time.Since(j.sent), "read_to", l.pos)
 			l.queue = append(l.queue, queued{j.start, j})
 		case j.reply != nil && (j.ack > l.taken || l.broke.Sub(j.sent) < l.opts.Limits.Swallowed):
+			l.opts.Log.Info("a reply is sent again", "request", id, "on", j.written, "link", l.links, "after", time.Since(j.sent), "read_to", l.pos)
 			l.queue = append(l.queue, queued{j.reply, j})
 		}
 	}
