Send no command again that may have been carried out and must not be twice

Cause: runtime.Link.resend (link.go) took the echo of the gauges on a resumed link for the word that every run it had heard nothing of had not begun, and sent its start again. A run that ended between that echo and the second start ran twice; a reply to a call met the run's next call likewise. putBack sent a line again that lacked only its newline, which a reader that meets the end of the stream takes as whole. The class: what has not been heard of was taken for what has not happened.

What else nobody can confirm the core is told of: it goes on without the call where the class allows it, else waits, and writes the run off once its request is answered, with its key taken. Runner.Start says whether a run may start twice.

--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -360,7 +360,7 @@
 	try *Try
 }
 
-func (r runner) Start(id, _ string, _ []byte) {
+func (r runner) Start(id, _ string, _ []byte, _ bool) {
 	w := &run{since: r.site.Clock.Now()}
 	r.runs[id] = w
 	r.site.Ran(r.try)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -58,7 +58,6 @@
 	Ahead, Behind         time.Duration // of the clock, within which a request's time stamp is taken
 	HandOver              time.Duration // for the runtime to take what was written before the link moves elsewhere
 	CallSlack             time.Duration // past a call's own time before it is given up here
-	Swallowed             time.Duration // of commands that the runtime may lose with a link that breaks, though it went on
 	Pulse                 time.Duration // between reports to the directory
 	Gauges                time.Duration // for the gauges before a tick goes without
 	Closing               time.Duration // for a peer to close a connection after it was asked to
@@ -174,7 +173,7 @@
 		Agree: 5 * time.Second, Beat: time.Second,
 		Write: 3 * time.Second, Dial: time.Second,
 		RetryLeast: 20 * time.Millisecond, RetryMost: time.Second, LinkSilence: 1500 * time.Millisecond, LinkReady: 5 * time.Second,
-		CallIdle: time.Second, ReplyRest: time.Second, Message: 2 * time.Second, HandOver: 300 * time.Millisecond, Swallowed: 80 * time.Millisecond, CallSlack: 100 * time.Millisecond,
+		CallIdle: time.Second, ReplyRest: time.Second, Message: 2 * time.Second, HandOver: 300 * time.Millisecond, CallSlack: 100 * time.Millisecond,
 		Pulse: 250 * time.Millisecond, Gauges: 700 * time.Millisecond, Closing: 2 * time.Second,
 		RecordWait: time.Second, RecordBack: time.Second,
 		KeySlack: 200 * time.Millisecond, DueShare: 0.5, GraceSpare: 50 * time.Millisecond, KillSpare: 150 * time.Millisecond,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,9 +57,10 @@
 	Begun   bool          // part of the response is with the caller: only its end is left to tell
 }
 
-// Runner does the work of requests. Its methods must not block; how runs go comes back through Ended and Wants.
+// Runner does the work of requests. Its methods must not block; how runs go comes back through Ended and Wants. once says
+// that a run must not be started a second time, whatever becomes of the first start.
 type Runner interface {
-	Start(id, class string, body []byte)
+	Start(id, class string, body []byte, once bool)
 	Stop(id string)
 	Continue(id string)
 	Give(id string, reply []byte)
@@ -114,6 +115,7 @@
 	wait    clock.Timer // starting: for how long
 	entered time.Time   // when the module was told of it
 	paused  bool
+	lost    bool   // the runner can't tell whether the last word to its run arrived: no end of it may ever be told
 	begun   bool   // part of its response is with the caller
 	wants   uint64 // the notice that asked for the call it stands at; 0: none
 	call    []byte
@@ -285,8 +287,12 @@
 	if r.due.Before(now) {
 		r.due = now
 	}
-	if n.byID[q.ID] != nil {
+	if n.byID[q.ID] != nil && class.Effect != logic.Safe {
+		// The first request of the name may run: a refusal would promise that it did not.
 		n.trace("an id that is in hand already", r)
+		n.open++
+		n.settle(r, Answer{Kind: Failed})
+		return
 	}
 	if n.byID[q.ID] != nil || len(n.byNum) >= n.opts.Limits.Requests || class.Effect == logic.Keyed && q.Key == "" {
 		// A second request of the same name, a crowd beyond our own memory, or a keyed one whose repeats could
@@ -407,7 +413,7 @@
 	if r.settled {
 		return
 	}
-	if a.Kind == Refused && n.ranHere(r) {
+	if a.Kind == Refused && (n.ranHere(r) || n.mayHaveRun(r)) {
 		a = Answer{Kind: Failed} // it did run here: a refusal would send it to run elsewhere too
 	}
 	if r.begun {
@@ -498,6 +504,7 @@
 	}
 	n.settle(r, Answer{Kind: kind})
 	n.forsaken(r)
+	n.writeOff(r)
 }
 
 // Leave is the notice that the process is to be stopped so long after it came. The grace and the kill count from the
@@ -551,6 +558,11 @@
 	return r.Key != "" && (n.keys.ran(r) || n.heldAbroad(r))
 }
 
+// mayHaveRun says whether a request that must not run twice was handed to its runner.
+func (n *Node) mayHaveRun(r *request) bool {
+	return r.stage == runs && n.opts.Settings.Classes[r.Class].Effect != logic.Safe
+}
+
 // Sweep drops what has expired; it is to be called now and then.
 func (n *Node) Sweep() {
 	n.mu.Lock()
@@ -558,7 +570,10 @@
 	now := n.opts.Clock.Now()
 	n.keys.expire(now)
 	for _, r := range n.byNum {
-		if now.Sub(r.due) > n.opts.Limits.Orphan { // a run whose end was lost with a link
+		switch late := now.Sub(r.due); {
+		case r.lost && late > 0:
+			n.writeOff(r)
+		case late > n.opts.Limits.Orphan: // a run whose end was lost with a link
 			n.finish(r, logic.Failed, 0, nil)
 		}
 	}
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -59,6 +59,7 @@
 	if r.stage == held || r.stage == joined {
 		n.drop(r)
 	}
+	n.writeOff(r)
 }
 
 // run starts a request, or goes on with a paused run. It guards two rules against a mistaken module: nothing that
@@ -109,7 +110,7 @@
 	n.counts.Ran++
 	n.class(r).Ran++
 	class := &n.opts.Settings.Classes[r.Class]
-	r.Runner.Start(r.ID, class.Name, r.Body)
+	r.Runner.Start(r.ID, class.Name, r.Body, class.Effect != logic.Safe)
 	if r.paused { // while its start was being recorded
 		r.Runner.Stop(r.ID)
 	}
@@ -163,6 +164,11 @@
 // finish ends a request's run: it answers it and all that waited for it.
 func (n *Node) finish(r *request, o gate.Outcome, took time.Duration, result []byte) {
 	n.opts.Gate.Report(gate.Ended(r.num, o, took))
+	n.conclude(r, o, result)
+}
+
+// conclude is what finish does beside telling the module.
+func (n *Node) conclude(r *request, o gate.Outcome, result []byte) {
 	started := r.stage == runs
 	r.stage = ended
 	if o == logic.OK {
@@ -209,7 +215,7 @@
 	if r == nil || r.stage != runs {
 		return
 	}
-	r.wants, r.call = pos, body
+	r.wants, r.call, r.lost = pos, body, false
 	n.trace("stands at a call", r, "notice", pos)
 	n.opts.Gate.Report(gate.AtCall(r.num))
 }
--- /dev/null
+++ b/internal/runtime/messages.go
@@ -0,0 +1,53 @@
+package runtime
+
+import (
+	"encoding/base64"
+	"encoding/json"
+
+	"sloehitch/internal/gate"
+	"sloehitch/logic"
+)
+
+// command is a message to the runtime.
+type command struct {
+	Action  string  `json:"action"`
+	UID     string  `json:"uid,omitempty"`
+	Lane    string  `json:"lane,omitempty"`
+	Content *string `json:"content,omitempty"`
+	Pos     *uint64 `json:"pos,omitempty"`
+	Echo    string  `json:"echo,omitempty"`
+}
+
+// notice is a message from the runtime.
+type notice struct {
+	Action  string        `json:"action"`
+	Pos     uint64        `json:"pos"`
+	UID     string        `json:"uid"`
+	Code    string        `json:"code"`
+	WallMS  float64       `json:"wall_ms"`
+	Content string        `json:"content"`
+	Echo    string        `json:"echo"`
+	Meters  []json.Number `json:"meters"`
+}
+
+// Echoes that show how far the other end is.
+const (
+	barrier  = "resumed" // all notices up to the resumption have been read
+	handOver = "moved"   // all commands written before the move have been taken
+	alive    = "alive"   // the other end is there: nothing else was heard of it for a while
+)
+
+func encode(c command) []byte {
+	line, err := json.Marshal(c)
+	if err != nil { // strings and numbers always marshal
+		panic(err)
+	}
+	return append(line, '\n')
+}
+
+func base(body []byte) *string {
+	s := base64.StdEncoding.EncodeToString(body)
+	return &s
+}
+
+var ends = map[string]gate.Outcome{"OK": logic.OK, "ERROR": logic.Failed, "STOPPED": logic.Cancelled, "MOOT": logic.Moot}
--- a/internal/uwsgi/pool.go
+++ b/internal/uwsgi/pool.go
@@ -172,7 +172,7 @@
 }
 
 // Start runs a request. body is all that follows the packet's head where the request is held whole.
-func (p *Pool) Start(id, _ string, body []byte) {
+func (p *Pool) Start(id, _ string, body []byte, _ bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	j := p.jobs[id]
