Count deadlines, windows and graces on steady time, whatever the wall clock does

Cause: clock.System stripped the monotonic reading, so that every span in the core followed the wall clock. Stepped forward it forgot keys within their window, which would run a repeat again, and answered at once what still had time; stepped back it held everything for that long.

Change: steady time (the start's Unix time plus monotonic time); clock.Stamps reads callers' stamps by the offset, present or from before a step, that makes them most recent; processes that replace one another share one origin (clock.Share).

--- a/cmd/sloehitch/handover.go
+++ b/cmd/sloehitch/handover.go
@@ -25,6 +25,9 @@
 // claimsDir is the folder of claims of a node in dir, which its processes share.
 func claimsDir(dir, name string) string { return filepath.Join(dir, "sloehitch-"+name+"-claims") }
 
+// clockFile is where the processes of a node agree on one steady time, which stamps in the claims and in what was learned go by.
+func clockFile(dir, name string) string { return filepath.Join(dir, "sloehitch-"+name+"-clock") }
+
 // wanted is what a process with this configuration can begin with.
 func wanted(p *config.Platform, lim limits.Limits, now time.Time) handover.Wanted {
 	return handover.Wanted{Node: p.Name, Settings: p.Logic, Now: now, Oldest: lim.LearnedOldest, Ahead: lim.Ahead}
--- a/cmd/sloehitch/incident_test.go
+++ b/cmd/sloehitch/incident_test.go
@@ -10,6 +10,7 @@
 
 	"sloehitch/internal/faults/linkproxy"
 	"sloehitch/internal/standin"
+	"sloehitch/internal/trial"
 )
 
 // nodeBehindProxy is the real program, whose link to its runtime goes through a proxy.
@@ -100,3 +101,55 @@
 		}
 	}
 }
+
+// TestTheWallClockIsStepped: the process's wall clock jumps forward and back while requests come, run and hang. Each is served, and each that
+// hangs is answered when it is due, by real time.
+func TestTheWallClockIsStepped(t *testing.T) {
+	const deadline, work, slack = 2 * time.Second, 50 * time.Millisecond, 130 * time.Millisecond
+	hang := make(chan struct{})
+	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) {
+		if strings.HasPrefix(string(j.Body), "hang") {
+			<-hang
+		}
+		time.Sleep(work)
+		return "OK", string(j.Body)
+	})
+	defer close(hang)
+	dir := t.TempDir()
+	t.Setenv(trial.Variable, dir)
+	n := startBehindProxy(t, rt, deadline)
+	type answer struct {
+		word string
+		took time.Duration
+	}
+	var answers [2][]chan answer
+	ask := func(kind int, body string) {
+		b, got, began := standin.Dial(t, n.address), make(chan answer, 1), time.Now()
+		b.Do(1, "book", req(100*kind+len(answers[kind])+1), time.Now(), body, ",opkey="+body)
+		answers[kind] = append(answers[kind], got)
+		go func() {
+			parts := append(b.Read(), "", "no answer")
+			got <- answer{parts[1], time.Since(began)}
+		}()
+	}
+	steps := []string{"0s", "1h", "0s", "-1h", "5s", "-7s", "0s"}
+	for i, step := range steps {
+		if err := os.WriteFile(filepath.Join(dir, "clock"), []byte(step+" 1"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		ask(0, fmt.Sprint("serve before ", i))
+		ask(1, fmt.Sprint("hang ", i))
+		time.Sleep(100 * time.Millisecond) // the step takes hold within 10 ms
+		ask(0, fmt.Sprint("serve after ", i))
+	}
+	for i, got := range answers[0] {
+		if a := <-got; a.word != "ACK" {
+			t.Errorf("request %d: %+v, want ACK", i, a)
+		}
+	}
+	for i, got := range answers[1] {
+		if a := <-got; a.word != "FAIL" || a.took < deadline-slack || a.took > deadline+slack {
+			t.Errorf("hanging request %d, clock at %s: %+v, want FAIL at %v", i, steps[i], a, deadline)
+		}
+	}
+}
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -161,6 +161,11 @@
 	d := &daemon{platform: p, name: p.Name, limits: lim, trial: part, means: handover.Share(handover.Load{}, nil, lim.Connections), log: log, failed: make(chan error, 4), replaced: make(chan int, 1), freed: make(chan *ledger.Store),
 		pulse: directory.New(p.Name, p.Lookup, lim, log)}
 	d.deploy.Store(l.deploy)
+	if inherited() {
+		if err := clock.Share(clockFile(os.TempDir(), p.Name)); err != nil {
+			log.Warn("windows of keys are counted by this process's own clock", "error", err)
+		}
+	}
 	system := clock.System{}
 	gateOptions := gate.Options{Seed: seed(p.Seed), Clock: system, Patience: lim.Gauges, Learned: d.learned(system.Now())}
 	var g *gate.Gate
@@ -191,7 +196,7 @@
 		return nil, err
 	}
 	d.front = resp.New(resp.Options{Core: d.node, Standing: standing{g, &d.closed, &d.evacuated, &d.unwanted, &d.drained}, Runner: d.link, Classes: p.Names.Classes,
-		Tenants: p.Names.Tenants, Unknown: d.node.Unknown, Limits: lim, Log: log})
+		Tenants: p.Names.Tenants, Unknown: d.node.Unknown, Limits: lim, Log: log, Stamps: clock.NewStamps(lim.Ahead, oldestStamp(p.Logic, lim), part.Offset)})
 	if d.link != nil { // without a runtime nothing could run what balancers send
 		ln, err := d.clients(p.Listen)
 		if err != nil {
@@ -222,6 +227,16 @@
 	return d, nil
 }
 
+// oldestStamp is how long past a request's time stamp may lie: one that is older than its deadline has been given up, so that its clock
+// rather is another.
+func oldestStamp(s logic.Settings, lim limits.Limits) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range s.Classes {
+		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
+	}
+	return min(lim.Behind, longest+lim.Ahead)
+}
+
 // clients is the listener for balancers: the one that the platform holds and hands down as the descriptor named in
 // $GW_ACCEPT_FD, so that an old and a new process take from the same queue while one replaces the other; without
 // it, a socket of its own on address.
@@ -508,12 +523,12 @@
 	d.leaveLearned(true)
 	d.log.Info("leaving", "stop", stop, "others", sight.Others, "quiet", plan.Quiet)
 	end := notice.Add(stop - d.limits.KillSpare/2)
-	kill := time.After(time.Until(notice.Add(stop - d.limits.KillSpare*3/4))) // the core has answered all that is left by then
+	kill := time.After(clock.System{}.Until(notice.Add(stop - d.limits.KillSpare*3/4))) // the core has answered all that is left by then
 	d.node.Leave(notice, stop, plan.Quiet)
 	d.quiet.Store(plan.Quiet)
 	d.leaving.Store(true)
 	d.pulse.Close(!plan.Quiet || d.away())
-	grace := time.After(time.Until(notice.Add(plan.Shut)))
+	grace := time.After(clock.System{}.Until(notice.Add(plan.Shut)))
 	look := time.NewTicker(d.limits.RetryLeast)
 	defer look.Stop()
 	shut := false
@@ -521,7 +536,7 @@
 		select {
 		case <-kill:
 			d.log.Info("leaving at the last moment", "open", d.open())
-			d.front.Finish(end)
+			d.front.Finish(clock.System{}.Until(end))
 			return
 		case <-d.hup: // what is still owed may need the new addresses
 			d.reload()
--- /dev/null
+++ b/internal/clock/sources_test.go
@@ -0,0 +1,37 @@
+package clock
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// wallReading is what reads the wall clock, or compares an instant of steady time with it.
+var wallReading = regexp.MustCompile(`time\.Now\(\)\.(Round|Unix|UTC|Format|Truncate)|time\.Until\(`)
+
+// TestNoWallClockInTheCore: the packages through which requests go read the steady clock; only this package reads the wall clock.
+func TestNoWallClockInTheCore(t *testing.T) {
+	for _, folder := range []string{"node", "gate", "resp", "runtime", "runtime/redelivery", "catalogue", "directory", "seats", "linger", "handover",
+		"claims", "claims/holding", "tandem", "bookings", "uwsgi", "uwsgi/choice", "ops", "retune", "lograte", "latency", "../cmd/sloehitch"} {
+		files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %d files, %v", folder, len(files), err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") || filepath.Base(file) == "drain.go" { // the latter is an operator's command, not the daemon
+				continue
+			}
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i, line := range strings.Split(string(text), "\n") {
+				if found := wallReading.FindString(line); found != "" {
+					t.Errorf("%s:%d: %s reads the wall clock, which may be stepped: take clock.System", file, i+1, found)
+				}
+			}
+		}
+	}
+}
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -324,13 +324,13 @@
 		return n == 2
 	})
 	d.answer(req, node.Answer{Kind: node.Served, Result: bytes.Repeat([]byte("r"), 4096)})
-	f.Finish(time.Now()) // nobody has ended yet
+	f.Finish(0) // nobody has ended yet
 	if f.Open() == 0 {
 		t.Error("all have ended already")
 	}
 	ended := make(chan struct{})
 	go func() {
-		f.Finish(time.Now().Add(standin.Patience))
+		f.Finish(standin.Patience)
 		close(ended)
 	}()
 	resting.Do(8, "book", "9b1f03aa5c7e2d42", time.Now(), "body", "") // too late to be taken
@@ -465,7 +465,7 @@
 	if got := good.Read(); len(got) < 2 || got[1] != "ACK" {
 		t.Errorf("answer %q", got)
 	}
-	f.Finish(time.Now())
+	f.Finish(0)
 	f.mu.Lock()
 	for k := range f.conns {
 		k.net.Close()
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -17,6 +17,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"sloehitch/internal/clock"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/linger"
 	"sloehitch/internal/lograte"
@@ -48,6 +49,7 @@
 	Unknown  func(class string) // told of each request refused for a class not in the settings; may be nil
 	Limits   limits.Limits
 	Log      *slog.Logger
+	Stamps   *clock.Stamps // reads requests' time stamps; nil: one with the bounds of Limits
 }
 
 // Front serves balancers.
@@ -73,6 +75,9 @@
 
 // New returns a front that serves nothing yet.
 func New(o Options) *Front {
+	if o.Stamps == nil {
+		o.Stamps = clock.NewStamps(o.Limits.Ahead, o.Limits.Behind, nil)
+	}
 	f := &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{}),
 		seats: seats.New(o.Limits.Connections, o.Limits.Newcomer, o.Limits.Quiet)}
 	f.classes.Store(&o.Classes)
@@ -254,9 +259,10 @@
 }
 
 // Finish ends all connections from this side, as soon as what was answered on them is written; what still comes is not
-// taken. It waits until the peers have ended them too, at the longest until the given time. A process that ended
+// taken. It waits until the peers have ended them too, at the longest for the given time. A process that ended
 // without it would reset connections on which something unread stands, and answers that are on their way with them.
-func (f *Front) Finish(by time.Time) {
+func (f *Front) Finish(within time.Duration) {
+	by := time.Now().Add(within)
 	for {
 		for _, k := range f.all() {
 			k.mu.Lock()
@@ -267,7 +273,7 @@
 		if f.Open() == 0 || !time.Now().Before(by) {
 			return
 		}
-		time.Sleep(min(time.Until(by), f.opts.Limits.RetryLeast/4))
+		time.Sleep(min(by.Sub(time.Now()), f.opts.Limits.RetryLeast/4))
 	}
 }
 
@@ -448,11 +454,12 @@
 			return node.Request{}, fmt.Errorf("unknown tenant %.40q", d.owner)
 		}
 	}
-	if ahead := time.Until(d.arrived); ahead > o.Limits.Ahead || ahead < -o.Limits.Behind {
-		return node.Request{}, fmt.Errorf("a time stamp %v from now", ahead)
+	arrived, err := o.Stamps.Instant(d.stamp)
+	if err != nil {
+		return node.Request{}, err
 	}
 	return node.Request{ID: d.req, Class: class, Tenant: tenant, KB: d.need, Hint: d.work, Rank: d.level, Retry: d.resent,
-		Source: d.via, Arrived: d.arrived, Wait: d.wait, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner, Front: "resp"}, nil
+		Source: d.via, Arrived: arrived, Wait: d.wait, Key: d.opkey, Body: d.body, Content: d.body, Runner: o.Runner, Front: "resp"}, nil
 }
 
 // state is what the connection is doing; the caller holds mu.
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -19,7 +19,7 @@
 // do is what DO asks for.
 type do struct {
 	class, req, owner, opkey, subject string
-	arrived                           time.Time
+	stamp                             time.Time // when it came to the machine, by the wall clock of who sent it
 	via                               int
 	wait                              time.Duration // from arrived on; 0: not told
 	resent                            bool
@@ -75,7 +75,7 @@
 			return fmt.Errorf("field %s: %w", name, err)
 		}
 	}
-	if d.req == "" || d.arrived.IsZero() || d.need == 0 {
+	if d.req == "" || d.stamp.IsZero() || d.need == 0 {
 		return errors.New("req, ts or need is missing")
 	}
 	return nil
@@ -94,7 +94,7 @@
 		if err != nil || ms <= 0 || ms > 1<<50 {
 			return fmt.Errorf("bad time %.40q", value)
 		}
-		d.arrived = time.UnixMilli(ms)
+		d.stamp = time.UnixMilli(ms)
 	case "via":
 		n, err := strconv.ParseUint(value, 10, 30)
 		d.via = int(n)
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -78,7 +78,7 @@
 		t.Fatal(err)
 	}
 	want := do{class: "book", req: "9b1f03aa5c7e2d41", owner: "acme", opkey: "5c0f", subject: "7f3a",
-		arrived: time.UnixMilli(1764576000123), wait: 480500 * time.Microsecond, via: 4, resent: true, work: 12500 * time.Microsecond, need: 24.5, level: 0.625}
+		stamp: time.UnixMilli(1764576000123), wait: 480500 * time.Microsecond, via: 4, resent: true, work: 12500 * time.Microsecond, need: 24.5, level: 0.625}
 	got := m.do
 	if string(got.body) != "a\r\nb" {
 		t.Errorf("body %q", got.body)
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -142,6 +142,14 @@
 	return time.Now().Add(time.Duration(t.wrong(lease.Now())))
 }
 
+// Offset is by how much the wall clock of this process is wrong.
+func (t *Trial) Offset() time.Duration {
+	if t == nil {
+		return 0
+	}
+	return time.Duration(t.wrong(lease.Now()))
+}
+
 // Tell appends an event. What can't be written is lost: a trial must not change what it looks at.
 func (t *Trial) Tell(e Event) {
 	if t == nil {
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"sync"
 	"time"
 
+	"sloehitch/internal/clock"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/lograte"
 	"sloehitch/internal/node"
@@ -87,7 +89,7 @@
 		o.Modifiers = []byte{0}
 	}
 	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), sources: map[string]int{},
-		seats: seats.New(o.Limits.UwsgiConns, o.Limits.Newcomer, o.Limits.Quiet), prefix: "uwsgi-" + strconv.FormatInt(time.Now().UnixNano(), 36) + "-"}
+		seats: seats.New(o.Limits.UwsgiConns, o.Limits.Newcomer, o.Limits.Quiet), prefix: "uwsgi-" + strconv.FormatUint(rand.Uint64(), 36) + "-"}
 }
 
 // Serve serves what comes in on ln until it is closed.
@@ -173,7 +175,8 @@
 		f.refuseInput(c, err)
 		return
 	}
-	arrived := time.Now().Round(0)
+	read := time.Now()
+	arrived := clock.System{}.Now()
 	body, err := packet.RequestBody(vars)
 	if err != nil {
 		f.refuseInput(c, err)
@@ -215,7 +218,7 @@
 	defer f.reserve(-room)
 	j.body.start()
 	if q.Key != "" { // all tries of it must have the same body, so it is needed whole
-		whole, err := j.body.all(arrived.Add(lim.Message + lim.BodyIdle))
+		whole, err := j.body.all(lim.Message + lim.BodyIdle)
 		if err != nil {
 			f.refuseBody(c, j.body, err)
 			return
@@ -232,7 +235,7 @@
 	if f.opts.Over == nil {
 		return
 	}
-	t := RequestTimes{ID: q.ID, Parent: vars.Get("HTTP_TRACEPARENT"), Read: arrived, Answered: time.Now(), Outcome: outcome, Streamed: j.passed()}
+	t := RequestTimes{ID: q.ID, Parent: vars.Get("HTTP_TRACEPARENT"), Read: read, Answered: time.Now(), Outcome: outcome, Streamed: j.passed()}
 	j.mu.Lock()
 	t.Run = j.run
 	j.mu.Unlock()
@@ -265,7 +268,7 @@
 // ask has the core answer a request, writes the answer, and says what became of the request.
 func (f *Front) ask(c net.Conn, q node.Request, j *job) (outcome string) {
 	j.core = func() bool { return f.opts.Core.Begin(q.ID) }
-	j.due = f.due(q)
+	j.due = time.Now().Add(clock.System{}.Until(f.due(q))) // with a monotonic reading, as the pool compares it
 	answers := make(chan node.Answer, 1)
 	f.opts.Pool.expect(q.ID, j)
 	defer f.opts.Pool.forget(q.ID)
--- a/internal/uwsgi/job.go
+++ b/internal/uwsgi/job.go
@@ -208,8 +208,8 @@
 }
 
 // all waits for the whole body and returns it; for requests whose digest is needed before they may run.
-func (f *inflow) all(until time.Time) ([]byte, error) {
-	wake := time.AfterFunc(time.Until(until), func() { f.fail(os.ErrDeadlineExceeded) })
+func (f *inflow) all(within time.Duration) ([]byte, error) {
+	wake := time.AfterFunc(within, func() { f.fail(os.ErrDeadlineExceeded) })
 	defer wake.Stop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
