Answer what was read before a connection is closed, and leave later bytes unread

Cause: as the front closed a connection (at the end of the process, to make room, after FIN), a message that its reader had in hand was not taken and got no answer, and linger.Drain read and dropped what came after. Both are requests that were read and closed without an answer.

Change: guarded.stop ends the reading: what has arrived is still read (without waiting, bounded), later bytes are left unread; then what was read is answered, the connection ends from this side, and linger.End waits for the peer's end without reading.

TestAMessageAfterTheSeatIsGone now wants a refusal.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -4,7 +4,10 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // CloseWrite ends a connection from this side: what was written is delivered, then the peer sees its end. It does not
@@ -29,3 +32,34 @@
 		}
 	}
 }
+
+// look is how often End looks whether the peer has ended.
+const look = 5 * time.Millisecond
+
+// End ends a connection from this side and waits until the peer has ended it too, or span is over; it blocks for that long. What the
+// peer still sends is left unread: a request that is read is owed an answer, and none can follow. The connection is still to be closed then.
+func End(c net.Conn, span time.Duration) {
+	CloseWrite(c)
+	for end := time.Now().Add(span); time.Now().Before(end) && !peerEnded(c); {
+		time.Sleep(look)
+	}
+}
+
+// peerEnded says whether the peer has ended its side, which can be seen without reading what it sent before.
+func peerEnded(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true // it is closed
+	}
+	ended := false
+	err = control.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(state, 0)
+		ended = err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return ended || err != nil
+}
--- a/internal/resp/frames.go
+++ b/internal/resp/frames.go
@@ -1,13 +1,6 @@
 package resp
 
-import (
-	"errors"
-	"net"
-	"os"
-	"time"
-
-	"sloehitch/internal/seats"
-)
+import "errors"
 
 // Errors after which a connection takes nothing more.
 var (
@@ -114,43 +107,3 @@
 	f.n = f.n*10 + int(c-'0')
 	return f.n <= most
 }
-
-// guarded is a connection whose reads are well framed and come in time; after what is not, they fail.
-type guarded struct {
-	net.Conn
-	frames frames
-	bad    error
-	limit  time.Duration // for a message to come whole, and for the first one to come
-	since  time.Time     // when that time began
-	seat   *seats.Seat
-}
-
-func (g *guarded) Read(b []byte) (int, error) {
-	if g.bad != nil {
-		return 0, g.bad
-	}
-	whole, begun := g.frames.whole, g.frames.state != wantArray
-	deadline := time.Time{} // between messages a connection may be quiet for as long as the front lets it
-	if begun || whole == 0 {
-		deadline = g.since.Add(g.limit)
-	}
-	if err := g.SetReadDeadline(deadline); err != nil {
-		return 0, err
-	}
-	n, err := g.Conn.Read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		err, g.bad = errSlow, errSlow
-	}
-	ok, bad := g.frames.check(b[:n])
-	if g.frames.whole > whole || whole > 0 && !begun {
-		g.since = time.Now()
-	}
-	if bad != nil {
-		g.bad = bad // what came whole before it is handed on first
-		if ok == 0 {
-			return 0, bad
-		}
-		return ok, nil
-	}
-	return n, err
-}
--- /dev/null
+++ b/internal/resp/guard.go
@@ -0,0 +1,136 @@
+package resp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sloehitch/internal/seats"
+)
+
+// errStopped ends the reading of a connection that is being closed from this side.
+var errStopped = errors.New("nothing more is read: the connection is being closed")
+
+// guarded is a connection whose reads are well framed and come in time; after what is not, they fail.
+type guarded struct {
+	net.Conn
+	frames frames
+	bad    error
+	limit  time.Duration // for a message to come whole, and for the first one to come
+	since  time.Time     // when that time began
+	seat   *seats.Seat
+	spare  int // bytes that may still be read once the reading is to stop
+
+	mu       sync.Mutex
+	stopping bool
+}
+
+// stop ends the reading from this side: what has arrived by now is still read, up to spare bytes, what comes later is not. It may be called
+// from any goroutine, and more than once.
+func (g *guarded) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return
+	}
+	g.stopping = true
+	_ = g.SetReadDeadline(time.Now()) // it wakes the reader; one whose connection is closed is awake
+}
+
+// arm sets the time by which the next bytes must come. It returns false where the reading is to stop.
+func (g *guarded) arm(deadline time.Time) (reading bool, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return false, nil
+	}
+	return true, g.SetReadDeadline(deadline)
+}
+
+// isStopping says whether the reading is to stop.
+func (g *guarded) isStopping() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stopping
+}
+
+func (g *guarded) Read(b []byte) (int, error) {
+	if g.bad != nil {
+		return 0, g.bad
+	}
+	whole, begun := g.frames.whole, g.frames.state != wantArray
+	deadline := time.Time{} // between messages a connection may be quiet for as long as the front lets it
+	if begun || whole == 0 {
+		deadline = g.since.Add(g.limit)
+	}
+	n, err := g.readBy(deadline, b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err, g.bad = errSlow, errSlow
+	}
+	ok, bad := g.frames.check(b[:n])
+	if g.frames.whole > whole || whole > 0 && !begun {
+		g.since = time.Now()
+	}
+	if bad != nil {
+		g.bad = bad // what came whole before it is handed on first
+		if ok == 0 {
+			return 0, bad
+		}
+		return ok, nil
+	}
+	return n, err
+}
+
+// readBy reads what comes by the deadline, or has come where the reading is to stop.
+func (g *guarded) readBy(deadline time.Time, b []byte) (int, error) {
+	reading, err := g.arm(deadline)
+	if err != nil {
+		return 0, err
+	}
+	if !reading {
+		return g.readArrived(b)
+	}
+	n, err := g.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && g.isStopping() {
+		return g.readArrived(b)
+	}
+	return n, err
+}
+
+// readArrived reads what has arrived, without waiting. With a deadline in the past the connection's own Read would leave it.
+func (g *guarded) readArrived(b []byte) (n int, err error) {
+	raw, ok := g.Conn.(syscall.Conn)
+	if !ok || g.spare <= 0 {
+		return 0, errStopped
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var readErr error
+	err = control.Control(func(fd uintptr) {
+		for {
+			if n, readErr = unix.Read(int(fd), b); readErr != unix.EINTR {
+				return
+			}
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr == unix.EAGAIN:
+		return 0, errStopped
+	case readErr != nil:
+		return 0, readErr
+	case n == 0:
+		return 0, io.EOF
+	}
+	g.spare -= n
+	return n, nil
+}
--- /dev/null
+++ b/internal/resp/listener.go
@@ -0,0 +1,89 @@
+package resp
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
+// lack of descriptors: redcon would spin on it.
+type Listener struct {
+	net.Listener
+	f       *Front
+	shared  bool
+	closing atomic.Bool
+	quiet   bool // nothing came in the time granted since the last connection; of Accept
+}
+
+// Listen returns what Serve is to serve: ln, which is shared if another process of this node takes connections from it too.
+func (f *Front) Listen(ln net.Listener, shared bool) *Listener {
+	return &Listener{Listener: ln, f: f, shared: shared}
+}
+
+// lastLook is for how long nothing must come before a listener that is to close is closed.
+const lastLook = 10 * time.Millisecond
+
+// Close ends the taking of connections. A listener that closes resets what waits in its queue, requests included, so
+// that is taken first: Close returns at once, and the listener closes when its queue is empty. The queue of a shared
+// one is left to the other process.
+func (l *Listener) Close() error {
+	if l.closing.CompareAndSwap(false, true) {
+		l.f.closing.Add(1)
+	}
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && !l.shared {
+		return d.SetDeadline(time.Now().Add(lastLook))
+	}
+	return l.Listener.Close()
+}
+
+// lookAgain says whether a listener that is to close is to be looked at once more as its time is over: something came
+// since it was last granted, or it had no turn.
+func (l *Listener) lookAgain() bool {
+	if l.quiet {
+		return false
+	}
+	l.quiet = true
+	return l.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Now().Add(lastLook)) == nil
+}
+
+// Accept waits for the next connection. Once the listener is closed it blocks until the front is.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && l.closing.Load():
+			if !l.lookAgain() {
+				l.Listener.Close()
+			}
+		case errors.Is(err, net.ErrClosed):
+			if l.closing.Load() {
+				l.f.closing.Add(-1)
+			}
+			// Once this fails redcon closes every connection, open requests or not: not before Close.
+			<-l.f.closed
+			return nil, err
+		case err != nil:
+			l.f.log.Warn("accept failed", err)
+			time.Sleep(l.f.opts.Limits.RetryLeast)
+		default:
+			l.quiet = false
+			lim := l.f.opts.Limits
+			g := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
+				limit: lim.Message, since: time.Now(), spare: lim.OpenPerConn * lim.Frame}
+			if g.seat = l.f.seats.Take(func() { l.f.evict(g) }); g.seat == nil {
+				l.f.opts.Log.Debug("a new connection is closed: there is no place for it", "peer", c.RemoteAddr())
+				c.Close()
+				continue
+			}
+			// Counted as open until Serve has it among its connections: a process that looked in between would
+			// think itself free to leave, and close a connection that a client may have written to. Even while
+			// leaving it is served and asked to close like the others: where the listener is shared with the
+			// process that comes next, the client never learns that it reached this one.
+			l.f.pending.Add(1)
+			return g, nil
+		}
+	}
+}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -186,7 +186,7 @@
 func (c *told) Gone(id string)                       { c.gone = append(c.gone, id) }
 func (c *told) GiveUp(id string)                     { c.gone = append(c.gone, id) }
 
-// TestAMessageAfterTheSeatIsGone: what comes as a connection makes room is not taken, and its end says nothing of the
+// TestAMessageAfterTheSeatIsGone: what is read as a connection makes room is refused and not taken, and its end says nothing of the
 // request that it names, which may be another caller's.
 func TestAMessageAfterTheSeatIsGone(t *testing.T) {
 	c := &told{}
@@ -195,7 +195,16 @@
 	defer theirs.Close()
 	k := &conn{front: f, net: &guarded{Conn: ours}, seat: f.seats.Take(func() {}), open: map[string]string{}}
 	k.seat.Leave()
+	answer := make(chan string, 1)
+	go func() {
+		b := make([]byte, 64)
+		n, _ := theirs.Read(b)
+		answer <- string(b[:n])
+	}()
 	err := k.message([][]byte{[]byte("DO"), []byte("7"), []byte("book"), []byte(fine), nil})
+	if got := <-answer; got != "*2\r\n$1\r\n7\r\n$3\r\nNAK\r\n" {
+		t.Errorf("%q, want a refusal", got)
+	}
 	if k.end(err); !errors.Is(err, errUnseated) || len(c.gone) > 0 {
 		t.Errorf("%v, told that %v are over", err, c.gone)
 	}
