Play the daemon under faults by seed, and judge it by the records of what it talks to

Change: internal/soak and sloehitch-lab soak: the real program between a runtime that keeps nothing, a catalogue, a directory and clients that use open connections until the kill, rest, write slowly, come in crowds or send nonsense, with delay, jitter and pieces on every link, resets, stalls, pauses, series of signals, restarts, the kill at the earliest that the protocol allows, a stepped wall clock and new configurations. A checker reads the stand-ins' records only (and, of the node's, which requests it read).

--- /dev/null
+++ b/cmd/sloehitch-lab/soak.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"sloehitch/internal/soak"
+)
+
+// soakCmd plays the daemon under faults by seed.
+type soakCmd struct {
+	First   uint64        `default:"1" help:"The first seed."`
+	Last    uint64        `default:"50" help:"The last seed."`
+	For     time.Duration `default:"12s" help:"For how long the traffic of a play goes on."`
+	Jobs    int           `default:"4" help:"Plays beside one another."`
+	Faults  []string      `help:"Only these kinds of trouble: reset-runtime, stall-to-runtime, stall-from-runtime, reset-clients, reset-catalogue, catalogue-down, pause, reload, step-wall-clock, directory-silent."`
+	Show    int           `default:"1" help:"Breaches of a play whose timelines are printed."`
+	Logs    string        `help:"A folder for the logs of processes in plays with a breach."`
+	Program string        `default:"bin/sloehitch" type:"existingfile" help:"The daemon."`
+}
+
+func (c *soakCmd) Run() error {
+	kinds := make([]soak.FaultKind, 0, len(c.Faults))
+	for _, f := range c.Faults {
+		kinds = append(kinds, soak.FaultKind(f))
+	}
+	dir, err := os.MkdirTemp("", "sloehitch-soak-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	table := soak.NewTable()
+	broken := 0
+	seeds := soak.Seeds{First: c.First, Last: c.Last, Length: c.For, Kinds: kinds, Beside: c.Jobs, Dir: dir,
+		Command: func(config string) *exec.Cmd {
+			command := exec.Command(c.Program, "serve", "--config", config, "--deploy", filepath.Join(dir, "none.toml"))
+			command.Env = os.Environ()
+			return command
+		}}
+	err = seeds.Run(func(r *soak.Report) {
+		table.Add(r)
+		fmt.Printf("seed %d: %d requests, %d runs, %d processes, %d breaches\n", r.Plan.Seed, r.Requests, r.Runs, r.Lives, len(r.Breaches))
+		if len(r.Breaches) == 0 {
+			return
+		}
+		broken++
+		r.WriteTimelines(os.Stdout, c.Show)
+		c.keepLogs(r)
+	})
+	table.Write(os.Stdout)
+	if err == nil && broken > 0 {
+		err = errFailed
+	}
+	return err
+}
+
+func (c *soakCmd) keepLogs(r *soak.Report) {
+	if c.Logs == "" {
+		return
+	}
+	for i, text := range r.Logs {
+		path := filepath.Join(c.Logs, fmt.Sprintf("seed-%d-process-%d.log", r.Plan.Seed, i+1))
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+}
--- a/internal/faults/linkproxy/linkproxy.go
+++ b/internal/faults/linkproxy/linkproxy.go
@@ -83,6 +83,13 @@
 	p.refusing = refuse
 }
 
+// Redirect has new connections go to another server.
+func (p *Proxy) Redirect(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server = server
+}
+
 // Opened is how many connections clients have made so far.
 func (p *Proxy) Opened() int {
 	p.mu.Lock()
@@ -139,14 +146,14 @@
 // connect joins a client with a new connection to the server.
 func (p *Proxy) connect(client net.Conn) {
 	p.mu.Lock()
-	refusing := p.refusing || p.closed
+	refusing, target := p.refusing || p.closed, p.server
 	p.opened++
 	p.mu.Unlock()
 	if refusing {
 		reset(client)
 		return
 	}
-	server, err := net.DialTimeout("tcp", p.server, dialTimeout)
+	server, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		reset(client)
 		return
