Outlive errors of sockets that pass, and wait for an address that is not free yet

Cause: any error of a read or write ended a caller's connection and lost its answers, also ENOBUFS, ENOMEM and the like, which say nothing about it; a start ended at once where the address was still taken or the system short of something; a report's socket that had lost its way to the directory was kept for ever.

Change: package sockerr; reads and writes of callers' connections go on after what passes, within limits.Write; the clients' address is tried for limits.Agree; a report that can't be sent has another socket dialled, and the old one kept where there is none.

--- a/cmd/sloehitch/listen.go
+++ b/cmd/sloehitch/listen.go
@@ -6,6 +6,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"sloehitch/internal/limits"
+	"sloehitch/internal/sockerr"
 )
 
 // listeners are what the daemon listens on, until it leaves.
@@ -43,6 +46,21 @@
 	return l.closed
 }
 
+// listenPatiently listens on an address, and tries again for limits.Agree while the reason why it can't be had may pass: a process that
+// ended at once would be taken for one that can't start.
+func (d *daemon) listenPatiently(address string) (net.Listener, error) {
+	return patiently(d.limits, func() (net.Listener, error) { return net.Listen("tcp", address) })
+}
+
+func patiently(l limits.Limits, listen func() (net.Listener, error)) (net.Listener, error) {
+	for end := time.Now().Add(l.Agree); ; time.Sleep(l.RetryLeast) {
+		ln, err := listen()
+		if err == nil || !sockerr.PassingListen(err) || time.Now().After(end) {
+			return ln, err
+		}
+	}
+}
+
 // serveOn listens and serves in the background. Where a process replaces another (the platform holds the clients'
 // listener) that one may still have the address: it is taken as soon as it is free, and the clients don't wait for it.
 func (d *daemon) serveOn(what string, listen func() (net.Listener, error), serve func(net.Listener) error) error {
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -243,7 +243,7 @@
 func (d *daemon) clients(address string) (net.Listener, error) {
 	text := os.Getenv("GW_ACCEPT_FD")
 	if text == "" {
-		return net.Listen("tcp", address)
+		return d.listenPatiently(address)
 	}
 	fd, err := strconv.Atoi(text)
 	if err != nil || fd < 3 {
--- a/internal/directory/pulse.go
+++ b/internal/directory/pulse.go
@@ -2,10 +2,12 @@
 package directory
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"sloehitch/internal/limits"
@@ -56,6 +58,15 @@
 	return p.address, fmt.Appendf(nil, "PULSE %s %s", p.name, state)
 }
 
+// sent sends a report. The first error may be that of an earlier datagram, which was refused: the second try is this one's own.
+func sent(conn net.Conn, text []byte) bool {
+	if _, err := conn.Write(text); err == nil {
+		return true
+	}
+	_, err := conn.Write(text)
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED) // the directory is down; the way there is fine
+}
+
 // Serve sends a report at once and then one each period until stop is closed. Reports get no answer, and one
 // that can't be sent is only late: the directory may be down for a while.
 func (p *Pulse) Serve(stop <-chan struct{}) {
@@ -80,8 +91,15 @@
 				p.log.Warn("no way to the directory", err)
 			}
 		}
-		if conn != nil {
-			_, _ = conn.Write(text) // a refused datagram of the past shows up here; the next one is on its way
+		if conn != nil && !sent(conn, text) {
+			// A socket that has lost its way to the directory never finds one again. It is kept while there is no other: under a lack of
+			// descriptors it is the only one.
+			if other, err := net.Dial("udp", to); err == nil {
+				conn.Close()
+				conn = other
+			} else {
+				p.log.Warn("no way to the directory", err)
+			}
 		}
 		select {
 		case <-ticker.C:
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -439,6 +440,59 @@
 	return n, nil
 }
 
+// short is a connection whose reads and writes fail now and then for want of something in the system, or come to little.
+type short struct {
+	net.Conn
+	in, out []byte
+	calls   int
+}
+
+func (s *short) SetReadDeadline(time.Time) error  { return nil }
+func (s *short) SetWriteDeadline(time.Time) error { return nil }
+
+// fails is the error of every call but each third.
+func (s *short) fails() error {
+	if s.calls++; s.calls%3 == 0 {
+		return nil
+	}
+	return &net.OpError{Op: "read", Err: os.NewSyscallError("read", []syscall.Errno{syscall.ENOBUFS, syscall.EINTR, syscall.ENOMEM}[s.calls%2])}
+}
+
+func (s *short) Read(b []byte) (int, error) {
+	if err := s.fails(); err != nil {
+		return 0, err
+	}
+	if len(s.in) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, s.in[:1])
+	s.in = s.in[n:]
+	return n, nil
+}
+
+func (s *short) Write(b []byte) (int, error) {
+	if err := s.fails(); err != nil {
+		return 0, err
+	}
+	s.out = append(s.out, b[0])
+	return 1, nil
+}
+
+// TestErrorsThatPass cost no connection: all is read, and all is written.
+func TestErrorsThatPass(t *testing.T) {
+	lim := limits.For(64, 256)
+	text := standin.Array("PING", "1")
+	s := &short{in: []byte(text)}
+	g := &guarded{Conn: s, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame}, limit: time.Hour, since: time.Now()}
+	if got, err := io.ReadAll(g); err != nil || string(got) != text {
+		t.Errorf("read %q, %v", got, err)
+	}
+	k := &conn{front: New(Options{Limits: lim, Log: standin.Quiet}), net: g}
+	if err := k.writeAll([]byte("an answer")); err != nil || string(s.out) != "an answer" {
+		t.Errorf("wrote %q, %v", s.out, err)
+	}
+}
+
 // TestASlowReader gets its answer whole as long as it reads on; one that does not is cut.
 func TestASlowReader(t *testing.T) {
 	f := New(Options{Core: newDesk(), Standing: mood{}, Limits: limits.For(64, 256), Log: standin.Quiet})
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"sloehitch/internal/seats"
+	"sloehitch/internal/sockerr"
 )
 
 // errStopped ends the reading of a connection that is being closed from this side.
@@ -97,12 +98,19 @@
 		return g.readArrived(b)
 	}
 	n, err := g.Conn.Read(b)
+	for tries := 0; n == 0 && sockerr.Passing(err) && tries < passingMost; tries++ {
+		time.Sleep(passingRest) // nothing is wrong with the connection, and its requests are owed answers
+		n, err = g.Conn.Read(b)
+	}
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && g.isStopping() {
 		return g.readArrived(b)
 	}
 	return n, err
 }
 
+// passingMost is how many times in a row a read is tried again after errors that pass by themselves.
+const passingMost = 500
+
 // readArrived reads what has arrived, without waiting. With a deadline in the past the connection's own Read would leave it.
 func (g *guarded) readArrived(b []byte) (n int, err error) {
 	raw, ok := g.Conn.(syscall.Conn)
--- a/internal/resp/output.go
+++ b/internal/resp/output.go
@@ -7,6 +7,7 @@
 
 	"github.com/tidwall/redcon"
 	"sloehitch/internal/linger"
+	"sloehitch/internal/sockerr"
 )
 
 // write queues an answer, which closes the tag. It never blocks: a peer that doesn't read holds up nobody
@@ -55,6 +56,9 @@
 // backlogPart is the part of a peer's own bound that it may leave unread when all of them together leave too much.
 const backlogPart = 16
 
+// passingRest is how long a read or write rests after an error that passes by itself.
+const passingRest = 2 * time.Millisecond
+
 // flush writes what is queued. A peer may read as slowly as it likes, as long as it reads something within each
 // limits.Write.
 func (k *conn) flush() {
@@ -80,12 +84,19 @@
 }
 
 func (k *conn) writeAll(b []byte) error {
+	since := time.Now() // when something was written last
 	for len(b) > 0 {
 		if err := k.net.SetWriteDeadline(time.Now().Add(k.front.opts.Limits.Write)); err != nil {
 			return err
 		}
 		n, err := k.net.Write(b)
-		if b = b[n:]; err != nil && (n == 0 || !errors.Is(err, os.ErrDeadlineExceeded)) {
+		b = b[n:]
+		switch {
+		case err == nil, n > 0 && errors.Is(err, os.ErrDeadlineExceeded):
+			since = time.Now()
+		case sockerr.Passing(err) && time.Since(since) < k.front.opts.Limits.Write:
+			time.Sleep(passingRest) // the connection is as good as before, and an answer is owed on it
+		default:
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/sockerr/sockerr_test.go
@@ -0,0 +1,38 @@
+package sockerr
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+)
+
+func TestPassing(t *testing.T) {
+	wrapped := func(errno syscall.Errno) error {
+		return &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", errno)}
+	}
+	for _, c := range []struct {
+		err             error
+		passing, listen bool
+	}{
+		{wrapped(syscall.EINTR), true, true},
+		{wrapped(syscall.ENOBUFS), true, true},
+		{wrapped(syscall.ENFILE), true, true},
+		{wrapped(syscall.EADDRINUSE), false, true},
+		{wrapped(syscall.EADDRNOTAVAIL), false, true},
+		{wrapped(syscall.ECONNRESET), false, false},
+		{wrapped(syscall.ETIMEDOUT), false, false},
+		{wrapped(syscall.EHOSTUNREACH), false, false},
+		{wrapped(syscall.EACCES), false, false},
+		{os.ErrDeadlineExceeded, false, false},
+		{io.EOF, false, false},
+		{errors.New("another"), false, false},
+		{nil, false, false},
+	} {
+		if Passing(c.err) != c.passing || PassingListen(c.err) != c.listen {
+			t.Errorf("%v: %v, %v; want %v, %v", c.err, Passing(c.err), PassingListen(c.err), c.passing, c.listen)
+		}
+	}
+}
