Refuse what newcomers ask for when all places are busy, and never a try of a key that ran

Cause: where all places were busy with open requests the listener closed a new connection at once, and with it a request that had arrived 0.14 s before (seats.Take told none, listener.go closed). A keyed try whose stamp the front could not take was refused though its key had run, as the front did not ask the core.

Change: a connection without a place is read for limits.Newcomer and what it asks is refused, a few at once (limits.Unseated); the front asks the core what a request that it can't submit may be told (Node.Refusal).

The soak itself was wrong in three ways, each mended: its proxy let a reset overtake what was in flight before it, a kill that came due in a pause did not wait for it, and it did not find which requests the node had read.

TestNoPlaceForANewConnection, TestRefusal; resp, node with -race.

--- a/internal/faults/linkproxy/linkproxy.go
+++ b/internal/faults/linkproxy/linkproxy.go
@@ -224,9 +224,10 @@
 	}
 }
 
-// chunk is bytes that arrived together. An empty one is the end of its direction.
+// chunk is bytes that arrived together. An empty one is the end of its direction, or a reset of the connection.
 type chunk struct {
 	bytes []byte
+	reset bool
 	due   time.Time
 }
 
@@ -263,18 +264,21 @@
 	}
 }
 
-// receivedEnd passes on how the sender ended: an orderly end behind what is in flight, a reset at once.
+// receivedEnd passes on how the sender ended, behind what is in flight: a network keeps the order of what one side sends, its reset included.
 func (f *flow) receivedEnd(err error) {
 	if isEOF(err) {
 		f.enqueue(nil)
 		return
 	}
-	f.pair.end(true)
+	f.pass(chunk{reset: true})
 }
 
-func (f *flow) enqueue(bytes []byte) bool {
+func (f *flow) enqueue(bytes []byte) bool { return f.pass(chunk{bytes: bytes}) }
+
+// pass queues a chunk, which is due after the direction's delay.
+func (f *flow) pass(next chunk) bool {
 	c, jitter := f.pair.proxy.current(f.direction)
-	if c.Lost && len(bytes) > 0 {
+	if c.Lost && len(next.bytes) > 0 {
 		return true
 	}
 	f.mu.Lock()
@@ -283,9 +287,9 @@
 	if due.Before(f.last) {
 		due = f.last
 	}
-	f.last = due
+	f.last, next.due = due, due
 	select {
-	case f.queue <- chunk{bytes: bytes, due: due}:
+	case f.queue <- next:
 		return true
 	case <-f.pair.done:
 		return false
@@ -302,6 +306,10 @@
 			if !f.waitUntil(c.due) {
 				return
 			}
+			if c.reset {
+				f.pair.end(true)
+				return
+			}
 			if len(c.bytes) == 0 {
 				closeWrite(f.to)
 				f.pair.delivered(f.direction)
@@ -339,7 +347,7 @@
 			size = min(size, c.Piece)
 		}
 		if _, err := f.to.Write(bytes[:size]); err != nil {
-			f.pair.end(true)
+			// The other side has reset. The other direction meets that reset where it stands: behind all that was sent before it.
 			return false
 		}
 		bytes = bytes[size:]
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -22,6 +22,7 @@
 	FrameParts int // parts of one framed message
 	Backlog    int // answer bytes that a peer may leave unread
 	Backlogs   int // and all of them together; beyond it one that leaves over a sixteenth of its own bound is cut
+	Unseated   int // connections at once for which there is no place, that are read, refused and ended
 	Evicted    int // connections that made room for others and are still to end
 	NoticeLine int // bytes of one line from the runtime
 
@@ -164,7 +165,7 @@
 		Requests:  int(memory / 4 / (8 << 10)),
 		Keys:      int(memory / 4 / (8 << 10)),
 		Body:      2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
-		Backlog: 512 << 10, Backlogs: int(memory / 16), Evicted: max(1, sockets/48), NoticeLine: 64 << 10,
+		Backlog: 512 << 10, Backlogs: int(memory / 16), Evicted: max(1, sockets/48), Unseated: max(2, sockets/48), NoticeLine: 64 << 10,
 		KeptResult: 16 << 10, KeptResults: int(memory / 8),
 		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Window: 32 << 10, Windows: int(memory / 8), Response: 256 << 10, HTTPHead: 16 << 10, TraceQueue: 2048,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -67,6 +67,21 @@
 		})
 }
 
+// TestRefusal: a front that can't submit a try of a key that ran must not promise that it did not.
+func TestRefusal(t *testing.T) {
+	b := newBench(t)
+	b.submit("a", 1, "k", 0)
+	before := b.Refusal("book", "k")
+	b.decide("a", gate.Run)
+	during := b.Refusal("book", "k")
+	b.Ended("a", logic.OK, 0, nil)
+	after := b.Refusal("book", "k")
+	b.clock.now = b.clock.now.Add(11 * time.Second)
+	if past := b.Refusal("book", "k"); before != Refused || during != Failed || after != Failed || past != Refused || b.Refusal("book", "") != Refused {
+		t.Errorf("before the run %v, during it %v, after it %v, past its window %v", before, during, after, past)
+	}
+}
+
 // decide plays the module.
 func (b *bench) decide(id string, v gate.Verb) {
 	b.mu.Lock()
--- a/internal/node/unconfirmed.go
+++ b/internal/node/unconfirmed.go
@@ -24,6 +24,25 @@
 	r.lost = true
 }
 
+// Refusal is how a front is to answer a request of the named class with this key (empty: none) that it can't submit. A refusal says that the request never ran:
+// of a key that was run here that can't be said.
+func (n *Node) Refusal(class, key string) Kind {
+	if key == "" {
+		return Refused
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.keys.entries[key]; e != nil && e.ran && e.live(n.opts.Clock.Now(), n.keys.slack) {
+		return Failed
+	}
+	if s, ok := n.opts.Journal.(Sharer); ok {
+		if _, held := s.Find(Booking{Class: class, Key: key}); held {
+			return Failed
+		}
+	}
+	return Refused
+}
+
 // writeOff ends a run of which no end may ever be told, once its request has its answer: the module would count it among what runs for ever
 // after. Its key stays taken, since it may have run. The module hears of no failure, as nothing is known of one.
 func (n *Node) writeOff(r *request) {
--- a/internal/resp/conn.go
+++ b/internal/resp/conn.go
@@ -136,15 +136,15 @@
 	var q node.Request
 	switch {
 	case m.verb == "DO" && !seated:
-		// It was read, so it is owed an answer, but the connection is closing to make room: the core never hears of it.
-		k.answer(m.tag, node.Answer{Kind: node.Refused})
+		// It was read, so it is owed an answer, but there is no place for its connection: the core never hears of it.
+		k.answer(m.tag, node.Answer{Kind: k.front.opts.Core.Refusal(m.do.class, m.do.opkey)})
 		return errUnseated
 	case m.verb == "DO":
 		if err == nil {
 			q, err = k.request(&m.do)
 		}
-		if err != nil { // it was read, so it is owed an answer; it never ran
-			k.answer(m.tag, node.Answer{Kind: node.Refused})
+		if err != nil { // it was read, so it is owed an answer; this try never ran
+			k.answer(m.tag, node.Answer{Kind: k.front.opts.Core.Refusal(m.do.class, m.do.opkey)})
 		}
 		if errors.Is(err, errUnknownClass) {
 			// Well formed, of a class that the settings do not name (yet, or any more): balancers learn of a retuning
@@ -163,6 +163,9 @@
 			word = "RED"
 		}
 		k.write(m.tag, word, k.signal(), nil, "")
+		if !seated {
+			return errUnseated
+		}
 		return nil
 	}
 	if err != nil {
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -45,6 +46,13 @@
 	d.gone = append(d.gone, id)
 }
 
+func (d *desk) Refusal(_, key string) node.Kind {
+	if key == "ran" {
+		return node.Failed
+	}
+	return node.Refused
+}
+
 func (d *desk) GiveUp(id string) { d.answer(id, node.Answer{Kind: node.Refused}) }
 
 func (d *desk) answer(id string, a node.Answer) {
@@ -291,6 +299,54 @@
 	until(t, "the first was cut", func() bool { _, err := peers[0].Write([]byte("x")); return err != nil })
 }
 
+// TestNoPlaceForANewConnection: all places are busy, and more connections come with a request than may wait beside them. Each is answered: refused,
+// or failed where its key has run. One that says nothing is closed, and those in their places are served.
+func TestNoPlaceForANewConnection(t *testing.T) {
+	f, d, ln := opened(t, mood{}, func(l *limits.Limits) { l.Connections, l.Unseated = 2, 2 })
+	var busy []*standin.Balancer
+	for i := range 2 {
+		b := standin.Dial(t, ln.Addr().String())
+		b.Do(7, "book", fmt.Sprintf("%016x", i), time.Now(), "body", ",opkey=k")
+		busy = append(busy, b)
+		<-d.came
+	}
+	silent := standin.Dial(t, ln.Addr().String())
+	var answers sync.WaitGroup
+	for i := range 20 {
+		b := standin.Dial(t, ln.Addr().String())
+		key, want := "new", "NAK"
+		if i%2 == 0 {
+			key, want = "ran", "FAIL"
+		}
+		b.Do(7, "book", fmt.Sprintf("%016x", 100+i), time.Now(), "body", ",opkey="+key)
+		answers.Add(1)
+		go func() {
+			defer answers.Done()
+			if got := b.Read(); len(got) < 2 || got[0] != "7" || got[1] != want {
+				t.Errorf("newcomer %d: %q, want %s", i, got, want)
+			}
+			if got := b.Read(); got != nil {
+				t.Errorf("newcomer %d: %q behind its answer, want the end", i, got)
+			}
+			b.Close()
+		}()
+	}
+	if got := silent.Read(); got != nil {
+		t.Errorf("%q to one that said nothing", got)
+	}
+	answers.Wait()
+	if len(d.came) > 0 {
+		t.Errorf("%d requests without a place were taken", len(d.came))
+	}
+	for i, b := range busy {
+		d.answer(fmt.Sprintf("%016x", i), node.Answer{Kind: node.Served})
+		if got := b.Read(); len(got) < 2 || got[1] != "ACK" {
+			t.Errorf("in its place: %q", got)
+		}
+	}
+	until(t, "all who had no place are gone", func() bool { return len(f.unseated) == 0 })
+}
+
 // gatedListener accepts nothing while the gate is shut.
 type gatedListener struct {
 	*net.TCPListener
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -26,6 +26,7 @@
 	Submit(q node.Request, reply func(node.Answer))
 	Gone(id string)
 	GiveUp(id string)
+	Refusal(class, key string) node.Kind
 }
 
 // Standing is what goes with every answer.
@@ -59,6 +60,8 @@
 	closing atomic.Int64                   // listeners that are to close and may still hand out connections
 	unread  atomic.Int64                   // bytes of answers that wait for their peers to read
 
+	unseated chan struct{} // as many as there are connections without a place
+
 	closed chan struct{}
 
 	evicting sync.Mutex
@@ -74,7 +77,7 @@
 	if o.Stamps == nil {
 		o.Stamps = clock.NewStamps(o.Limits.Ahead, o.Limits.Behind, nil)
 	}
-	f := &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{}),
+	f := &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogEvery), conns: map[*conn]struct{}{}, closed: make(chan struct{}), unseated: make(chan struct{}, o.Limits.Unseated),
 		seats: seats.New(o.Limits.Connections, o.Limits.Newcomer, o.Limits.Quiet)}
 	f.classes.Store(&o.Classes)
 	return f
@@ -105,6 +108,16 @@
 	})
 }
 
+// receiveUnseated takes a connection for which there is no place, as all are busy: what it has to say within limits.Newcomer is read and
+// refused, then it ends. Closed at once it would take along a request that has arrived. A few may be there at once; it waits for its turn.
+func (f *Front) receiveUnseated(g *guarded) {
+	f.opts.Log.Debug("there is no place for a new connection: what it asks for is refused", "peer", g.RemoteAddr())
+	f.unseated <- struct{}{}
+	g.unseated = true
+	g.seat = f.seats.Unseated()
+	g.limit, g.since = f.opts.Limits.Newcomer, time.Now()
+}
+
 // Serve serves what comes in on ln until the front is closed.
 func (f *Front) Serve(ln *Listener) error {
 	accept := func(c redcon.Conn) bool {
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -21,12 +21,13 @@
 // guarded is a connection whose reads are well framed and come in time; after what is not, they fail.
 type guarded struct {
 	net.Conn
-	frames frames
-	bad    error
-	limit  time.Duration // for a message to come whole, and for the first one to come
-	since  time.Time     // when that time began
-	seat   *seats.Seat
-	spare  int // bytes that may still be read once the reading is to stop
+	frames   frames
+	bad      error
+	limit    time.Duration // for a message to come whole, and for the first one to come
+	since    time.Time     // when that time began
+	seat     *seats.Seat
+	unseated bool // there is no place for it: it is refused and ends
+	spare    int  // bytes that may still be read once the reading is to stop
 
 	mu       sync.Mutex
 	stopping bool
--- a/internal/resp/listener.go
+++ b/internal/resp/listener.go
@@ -74,9 +74,7 @@
 			g := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
 				limit: lim.Message, since: time.Now(), spare: lim.OpenPerConn * lim.Frame}
 			if g.seat = l.f.seats.Take(func() { l.f.evict(g) }); g.seat == nil {
-				l.f.opts.Log.Debug("a new connection is closed: there is no place for it", "peer", c.RemoteAddr())
-				c.Close()
-				continue
+				l.f.receiveUnseated(g)
 			}
 			// Counted as open until Serve has it among its connections: a process that looked in between would
 			// think itself free to leave, and close a connection that a client may have written to. Even while
--- a/internal/resp/output.go
+++ b/internal/resp/output.go
@@ -125,11 +125,18 @@
 		return
 	}
 	go func() {
-		linger.End(k.net.Conn, k.front.opts.Limits.Linger)
+		span := k.front.opts.Limits.Linger
+		if k.net.unseated {
+			span /= unseatedPart
+		}
+		linger.End(k.net.Conn, span)
 		k.close()
 	}()
 }
 
+// unseatedPart is the part of limits.Linger that a connection without a place has to end from the other side.
+const unseatedPart = 10
+
 // close closes the socket and gives up the connection's place.
 func (k *conn) close() {
 	k.net.Close()
@@ -137,4 +144,7 @@
 	k.front.mu.Lock()
 	delete(k.front.conns, k)
 	k.front.mu.Unlock()
+	if k.net.unseated {
+		<-k.front.unseated
+	}
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -182,6 +182,7 @@
 // told is a core that notes which requests it is told are over.
 type told struct{ gone []string }
 
+func (*told) Refusal(string, string) node.Kind       { return node.Refused }
 func (*told) Submit(node.Request, func(node.Answer)) {}
 func (c *told) Gone(id string)                       { c.gone = append(c.gone, id) }
 func (c *told) GiveUp(id string)                     { c.gone = append(c.gone, id) }
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// Unseated is a seat that was never given: whoever has it is told so by Set as soon as it speaks.
+func (t *Table) Unseated() *Seat { return &Seat{table: t, since: time.Now()} }
+
 // victim is who has to make room, and when; the caller holds mu.
 func (t *Table) victim() (victim *Seat, wait time.Duration) {
 	var silent, idle, first *Seat // first: of those that idle, the one that may go before the others
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -61,7 +61,7 @@
 		text := l.log.String()
 		r.Logs = append(r.Logs, text)
 		for line := range strings.SplitSeq(text, "\n") {
-			if _, after, found := strings.Cut(line, "msg=read request="); found {
+			if _, after, found := strings.Cut(line, "msg=read node=n1 request="); found {
 				id, _, _ := strings.Cut(after, " ")
 				read[id] = true
 			}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -87,12 +87,16 @@
 		return
 	}
 	from := p.record.now()
+	p.mu.Lock()
+	index := len(p.pauses)
+	p.pauses = append(p.pauses, pause{from, from + span}) // known at once: a kill that comes due in it waits
+	p.mu.Unlock()
 	p.signal(l, syscall.SIGSTOP)
 	time.Sleep(span)
 	p.signal(l, syscall.SIGCONT)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pauses = append(p.pauses, pause{from, p.record.now()})
+	p.pauses[index].to = p.record.now()
 }
 
 // reload has the process read a configuration that names another way to the runtime.
