--- /dev/null
+++ b/cmd/sloehitch-lab/faulty.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+
+	"sloehitch/internal/faults/systemcalls"
+)
+
+// faultyCmd runs a program whose system calls fail.
+type faultyCmd struct {
+	Seed    uint64   `default:"1" help:"Determines which calls fail, as far as the program makes the same ones."`
+	Rate    float64  `default:"0.005" help:"Of the calls on sockets that fail, and of reads and writes that come to less than asked for."`
+	Program string   `arg:"" type:"existingfile"`
+	Args    []string `arg:"" optional:"" passthrough:""`
+}
+
+// faultyEnded is the exit status of the program.
+type faultyEnded int
+
+func (e faultyEnded) Error() string { return fmt.Sprint("the program ended with status ", int(e)) }
+
+func (c *faultyCmd) Run() error {
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT)
+	passOn := func(pid int) {
+		go func() {
+			for s := range signals {
+				_ = syscall.Kill(pid, s.(syscall.Signal)) // it may have ended
+			}
+		}()
+	}
+	status, counts, err := systemcalls.Run(c.Program, c.Args, systemcalls.NewChoice(c.Seed, c.Rate), passOn)
+	if err != nil {
+		return err
+	}
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(os.Stderr, "system calls that failed: %s %d\n", name, counts[name])
+	}
+	if status != 0 {
+		return faultyEnded(status)
+	}
+	return nil
+}
--- a/cmd/sloehitch-lab/main.go
+++ b/cmd/sloehitch-lab/main.go
@@ -20,6 +20,7 @@
 	Run     runCmd     `cmd:"" help:"Play an experiment in the emulator, and report it."`
 	Load    loadCmd    `cmd:"" help:"Play an experiment's load against real daemons on loopback, and hold the emulator against them."`
 	Soak    soakCmd    `cmd:"" help:"Play the daemon under faults by seed, between stand-ins of all that it talks to, and judge by their records."`
+	Faulty  faultyCmd  `cmd:"" help:"Run a program whose system calls fail now and then, as Linux documents them."`
 	Fleet   fleetCmd   `cmd:"" help:"Put faults between real processes of a fleet on loopback, and check what held."`
 	Outage  outageCmd  `cmd:"" help:"Measure for how long a duty is at nobody's hands after its owner was killed, stopped, told to leave or cut off."`
 	Reports reportsCmd `cmd:"" help:"Measure what the reports of many nodes cost the store; all in one process."`
@@ -108,6 +109,10 @@
 	if errors.Is(err, errFailed) {
 		os.Exit(1)
 	}
+	var ended faultyEnded
+	if errors.As(err, &ended) {
+		os.Exit(int(ended))
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "sloehitch-lab:", err)
 		os.Exit(2)
--- a/cmd/sloehitch-lab/soak.go
+++ b/cmd/sloehitch-lab/soak.go
@@ -17,6 +17,7 @@
 	For     time.Duration `default:"12s" help:"For how long the traffic of a play goes on."`
 	Jobs    int           `default:"4" help:"Plays beside one another."`
 	Faults  []string      `help:"Only these kinds of trouble: reset-runtime, stall-to-runtime, stall-from-runtime, reset-clients, reset-catalogue, catalogue-down, pause, reload, step-wall-clock, directory-silent."`
+	Calls   float64       `help:"The rate at which system calls on the daemon's sockets fail or come short, such as 0.003; 0: none."`
 	Show    int           `default:"1" help:"Breaches of a play whose timelines are printed."`
 	Logs    string        `help:"A folder for the logs of processes in plays with a breach."`
 	Program string        `default:"bin/sloehitch" type:"existingfile" help:"The daemon."`
@@ -32,11 +33,19 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
 	table := soak.NewTable()
 	broken := 0
 	seeds := soak.Seeds{First: c.First, Last: c.Last, Length: c.For, Kinds: kinds, Beside: c.Jobs, Dir: dir,
 		Command: func(config string) *exec.Cmd {
 			command := exec.Command(c.Program, "serve", "--config", config, "--deploy", filepath.Join(dir, "none.toml"))
+			if c.Calls > 0 {
+				faulty := []string{"faulty", "--seed", fmt.Sprint(c.First), "--rate", fmt.Sprint(c.Calls)}
+				command = exec.Command(self, append(faulty, command.Args...)...)
+			}
 			command.Env = os.Environ()
 			return command
 		}}
--- a/cmd/sloehitch/incident_test.go
+++ b/cmd/sloehitch/incident_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"sloehitch/internal/faults/linkproxy"
 	"sloehitch/internal/limits"
 	"sloehitch/internal/standin"
@@ -181,3 +184,49 @@
 		t.Error("waited for ever")
 	}
 }
+
+// TestANewConfigurationIsAnnouncedAsItStarts: SIGHUP comes at any moment of the start, by the command line that deployments use. The process lives,
+// and takes a later one for what it is.
+func TestANewConfigurationIsAnnouncedAsItStarts(t *testing.T) {
+	var deploy struct{ Run string }
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := toml.Unmarshal(text, &deploy); err != nil {
+		t.Fatal(err)
+	}
+	program := built(t)
+	for play := range 20 {
+		rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+		address := standin.Free(t)
+		config := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(config, []byte(standin.Config(address, rt.Address, "", ample)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		line := strings.Replace(strings.Replace(deploy.Run, "bin/sloehitch", program, 1), "exec ", "echo; exec ", 1)
+		k := &killable{Cmd: exec.Command("/bin/sh", "-c", line)}
+		k.Env, k.Stderr = append(os.Environ(), "GW_CONFIG="+config), &k.log
+		out, err := k.StdoutPipe()
+		if err == nil {
+			err = k.Start()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := out.Read(make([]byte, 1)); err != nil { // the program is about to be started
+			t.Fatal(err)
+		}
+		time.Sleep(time.Duration(play) * time.Millisecond / 2) // and is at any point of its start
+		if err := k.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-rt.Syncs:
+		case <-time.After(standin.Patience):
+			k.kill()
+			t.Fatalf("play %d: it does not serve:\n%s", play, k.log.String())
+		}
+		k.kill()
+	}
+}
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -43,10 +43,13 @@
 	Answers  map[string]int // by word
 	Runs     int
 	Lives    int
-	Lag      time.Duration // for how long the machine gave the rig no turn, in all
-	Crossed  int           // ended with their connection within the crossing time
-	Record   *Record
-	Logs     []string // of the processes
+	// Of the starts and replies that a broken link carried: those that nobody could confirm, and the runs that no end was told of by the time
+	// that their requests were due. From the node's logs.
+	Unconfirmed, WrittenOff int
+	Lag                     time.Duration // for how long the machine gave the rig no turn, in all
+	Crossed                 int           // ended with their connection within the crossing time
+	Record                  *Record
+	Logs                    []string // of the processes
 }
 
 // judge holds the records to the rules.
@@ -60,6 +63,8 @@
 	for _, l := range p.lives {
 		text := l.log.String()
 		r.Logs = append(r.Logs, text)
+		r.Unconfirmed += strings.Count(text, "known_read=false action=await")
+		r.WrittenOff += strings.Count(text, `msg="its run is written off"`)
 		for line := range strings.SplitSeq(text, "\n") {
 			if _, after, found := strings.Cut(line, "msg=read node=n1 request="); found {
 				id, _, _ := strings.Cut(after, " ")
--- a/internal/soak/many.go
+++ b/internal/soak/many.go
@@ -62,6 +62,8 @@
 	requests     int
 	runs, lives  int
 	crossed      int
+	unconfirmed  int
+	writtenOff   int
 	lag          time.Duration
 	answers      map[string]int
 	faults       map[string]int
@@ -81,6 +83,8 @@
 	t.runs += r.Runs
 	t.lives += r.Lives
 	t.crossed += r.Crossed
+	t.unconfirmed += r.Unconfirmed
+	t.writtenOff += r.WrittenOff
 	t.lag += r.Lag
 	for word, n := range r.Answers {
 		t.answers[word] += n
@@ -105,6 +109,7 @@
 func (t *Table) Write(w io.Writer) {
 	fmt.Fprintf(w, "%d plays, %d without a breach; %d processes, %d requests, %d runs, %d requests that crossed an end; the rig itself got no turn for %v\n", t.plays, t.clean, t.lives, t.requests, t.runs, t.crossed, t.lag.Round(time.Millisecond))
 	fmt.Fprintf(w, "answers: %s\nfaults: %s\n", counts(t.answers), counts(t.faults))
+	fmt.Fprintf(w, "starts and replies that nobody could confirm: %d; runs written off: %d\n", t.unconfirmed, t.writtenOff)
 	for _, rule := range []string{RuleLost, RuleDuplicate, RuleDrain, RuleProcess} {
 		fmt.Fprintf(w, "%-9s broken in %d plays, %d times\n", rule, t.rules[rule], t.broken[rule])
 	}
