Read newcomers in a full house before they wait for a place, not one after the other

Cause: the listener waited for a seat for one newcomer at a time (seats.Take), up to limits.Quiet each, and rested 20 ms after every error of accept, also those that concern one connection only (ECONNABORTED, EHOSTUNREACH); a crowd behind it stood in the queue of the system, unread.

Change: seats.Sit does not block the listener; a newcomer without a seat is read first and waits in its own goroutine, for an eighth of its caller's time at most; one who waits sees a seat that is left. The listener rests 5 ms, and only where the system is short of something.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -165,7 +165,7 @@
 		Requests:  int(memory / 4 / (8 << 10)),
 		Keys:      int(memory / 4 / (8 << 10)),
 		Body:      2 << 10, Result: 4 << 10, Fields: 1 << 10, Frame: 8 << 10, FrameParts: 8,
-		Backlog: 512 << 10, Backlogs: int(memory / 16), Evicted: max(1, sockets/48), Unseated: max(2, sockets/48), NoticeLine: 64 << 10,
+		Backlog: 512 << 10, Backlogs: int(memory / 16), Evicted: max(1, sockets/48), Unseated: max(2, sockets/24), NoticeLine: 64 << 10,
 		KeptResult: 16 << 10, KeptResults: int(memory / 8),
 		Vars: 32 << 10, VarCount: 256, Content: 64 << 10, Window: 32 << 10, Windows: int(memory / 8), Response: 256 << 10, HTTPHead: 16 << 10, TraceQueue: 2048,
 		UwsgiConns: max(8, min(sockets/10, int(memory/(2<<20)))),
--- a/internal/resp/conn.go
+++ b/internal/resp/conn.go
@@ -132,7 +132,11 @@
 		k.open[m.tag] = m.do.req
 	}
 	seated := k.seat.Set(k.state())
+	waits := !seated && k.net.unseated
 	k.mu.Unlock()
+	if waits {
+		seated = k.sit(&m.do)
+	}
 	var q node.Request
 	switch {
 	case m.verb == "DO" && !seated:
@@ -179,6 +183,27 @@
 	return nil
 }
 
+// sitPart is the part of its caller's time that a newcomer's request may spend waiting for a place.
+const sitPart = 8
+
+// sit has a newcomer wait for a place, for as long as a connection that spoke just now keeps its own, but not for long by its caller's measure.
+func (k *conn) sit(d *do) bool {
+	patience := k.front.opts.Limits.Quiet
+	if d.wait > 0 {
+		patience = min(patience, d.wait/sitPart)
+	}
+	if !k.seat.Sit(patience) {
+		return false
+	}
+	k.mu.Lock()
+	k.net.unseated = false
+	k.seat.Set(k.state())
+	k.mu.Unlock()
+	k.net.limit = k.front.opts.Limits.Message
+	<-k.front.unseated
+	return true
+}
+
 var errUnknownClass = errors.New("unknown class")
 
 // request is what DO asks for in the core's terms, if there can be such a request at all.
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -347,6 +347,45 @@
 	until(t, "all who had no place are gone", func() bool { return len(f.unseated) == 0 })
 }
 
+// TestANewcomerWaitsNoLongerThanItsCallerCan: all places are with connections that spoke just now and keep them for long. Newcomers are read at
+// once, and refused in good time for callers that have little; one whose caller says nothing of it gets the first place that is free.
+func TestANewcomerWaitsNoLongerThanItsCallerCan(t *testing.T) {
+	f, d, ln := opened(t, mood{}, func(l *limits.Limits) { l.Connections, l.Unseated, l.Quiet = 2, 2, time.Hour })
+	var idle []*standin.Balancer
+	for range 2 {
+		b := standin.Dial(t, ln.Addr().String())
+		b.Send(standin.Array("PING", "1") + standin.Array("PING", "2"))
+		b.Read()
+		b.Read()
+		idle = append(idle, b)
+	}
+	patient := standin.Dial(t, ln.Addr().String())
+	patient.Do(7, "book", req, time.Now(), "body", "")
+	for range 3 {
+		b := standin.Dial(t, ln.Addr().String())
+		b.Do(7, "book", req, time.Now(), "body", ",timeout=160")
+		if got := b.Read(); len(got) < 2 || got[1] != "NAK" {
+			t.Errorf("%q, want a refusal", got)
+		}
+		b.Close()
+	}
+	if len(d.came) > 0 {
+		t.Fatal("taken without a place")
+	}
+	until(t, "only the patient one waits", func() bool { return len(f.unseated) == 1 })
+	idle[0].Close()
+	select {
+	case <-d.came:
+	case <-time.After(standin.Patience):
+		t.Fatal("not taken though a place is free")
+	}
+	d.answer(req, node.Answer{Kind: node.Served})
+	if got := patient.Read(); len(got) < 2 || got[1] != "ACK" {
+		t.Errorf("%q, want the answer", got)
+	}
+	until(t, "nobody is without a place", func() bool { return len(f.unseated) == 0 })
+}
+
 // gatedListener accepts nothing while the gate is shut.
 type gatedListener struct {
 	*net.TCPListener
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -108,13 +108,13 @@
 	})
 }
 
-// receiveUnseated takes a connection for which there is no place, as all are busy: what it has to say within limits.Newcomer is read and
-// refused, then it ends. Closed at once it would take along a request that has arrived. A few may be there at once; it waits for its turn.
+// receiveUnseated takes a connection for which there is no place now: what it has to say within limits.Newcomer is read, and then it waits
+// for a place, or is refused. Closed at once it would take along a request that has arrived; read only once it has a place, the request would
+// be late. A few may be there at once; it waits for its turn.
 func (f *Front) receiveUnseated(g *guarded) {
-	f.opts.Log.Debug("there is no place for a new connection: what it asks for is refused", "peer", g.RemoteAddr())
+	f.opts.Log.Debug("there is no place for a new connection", "peer", g.RemoteAddr())
 	f.unseated <- struct{}{}
 	g.unseated = true
-	g.seat = f.seats.Unseated()
 	g.limit, g.since = f.opts.Limits.Newcomer, time.Now()
 }
 
--- a/internal/resp/listener.go
+++ b/internal/resp/listener.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"sloehitch/internal/sockerr"
 )
 
 // Listener hands redcon connections that are within the limits and well framed. Accept never fails for a moment's
@@ -23,6 +25,9 @@
 	return &Listener{Listener: ln, f: f, shared: shared}
 }
 
+// acceptRest is how long the listener rests when the system is short of what a connection takes.
+const acceptRest = 5 * time.Millisecond
+
 // lastLook is for how long nothing must come before a listener that is to close is closed.
 const lastLook = 10 * time.Millisecond
 
@@ -67,13 +72,15 @@
 			return nil, err
 		case err != nil:
 			l.f.log.Warn("accept failed", err)
-			time.Sleep(l.f.opts.Limits.RetryLeast)
+			if sockerr.Short(err) { // else it was that one connection's trouble, and others wait
+				time.Sleep(acceptRest)
+			}
 		default:
 			l.quiet = false
 			lim := l.f.opts.Limits
 			g := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
 				limit: lim.Message, since: time.Now(), spare: lim.OpenPerConn * lim.Frame}
-			if g.seat = l.f.seats.Take(func() { l.f.evict(g) }); g.seat == nil {
+			if g.seat = l.f.seats.Unseated(func() { l.f.evict(g) }); !g.seat.Sit(0) {
 				l.f.receiveUnseated(g)
 			}
 			// Counted as open until Serve has it among its connections: a process that looked in between would
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -52,32 +52,57 @@
 // first: as a rule they were health checks, and are through with it. Only if none of them may go yet, or newcomers have
 // all the seats that are kept for them, it waits for the first that may. It returns nil if all are busy.
 func (t *Table) Take(end func()) *Seat {
-	for {
-		t.mu.Lock()
-		if len(t.taken) < t.most {
-			s := &Seat{table: t, end: end, since: time.Now()}
-			t.taken[s] = struct{}{}
-			t.mu.Unlock()
-			return s
-		}
-		victim, wait := t.victim()
-		if victim != nil && wait <= 0 {
-			delete(t.taken, victim)
-		}
-		t.mu.Unlock()
+	s := t.Unseated(end)
+	if !s.Sit(forEver) {
+		return nil
+	}
+	return s
+}
+
+// forEver is longer than anybody waits for a seat.
+const forEver = time.Hour
+
+// look is how often one who waits looks for a free seat.
+const look = 5 * time.Millisecond
+
+// Unseated is a seat that was not given yet: Set tells whoever has it so, until Sit has got it one.
+func (t *Table) Unseated(end func()) *Seat { return &Seat{table: t, end: end, since: time.Now()} }
+
+// Sit takes a seat as Take says, and waits for it at most for the given time. It returns false where there is none by then, at once
+// where all are busy.
+func (s *Seat) Sit(patience time.Duration) bool {
+	for until := time.Now().Add(patience); ; {
+		seated, wait, possible := s.sitNow()
 		switch {
-		case victim == nil:
-			return nil
-		case wait > 0:
-			time.Sleep(wait)
-		default:
-			victim.end()
+		case seated:
+			return true
+		case !possible, wait > 0 && !time.Now().Before(until):
+			return false
 		}
+		time.Sleep(min(wait, look)) // a place may be left before; 0: somebody has gone
 	}
 }
 
-// Unseated is a seat that was never given: whoever has it is told so by Set as soon as it speaks.
-func (t *Table) Unseated() *Seat { return &Seat{table: t, since: time.Now()} }
+// sitNow takes a seat if one is free, and has somebody go who may go now. Otherwise it tells when the first may, if any.
+func (s *Seat) sitNow() (seated bool, wait time.Duration, possible bool) {
+	t := s.table
+	t.mu.Lock()
+	if len(t.taken) < t.most {
+		s.since = time.Now()
+		t.taken[s] = struct{}{}
+		t.mu.Unlock()
+		return true, 0, true
+	}
+	victim, wait := t.victim()
+	if victim != nil && wait <= 0 {
+		delete(t.taken, victim)
+	}
+	t.mu.Unlock()
+	if victim != nil && wait <= 0 {
+		victim.end()
+	}
+	return false, max(0, wait), victim != nil
+}
 
 // victim is who has to make room, and when; the caller holds mu.
 func (t *Table) victim() (victim *Seat, wait time.Duration) {
--- a/internal/sockerr/sockerr.go
+++ b/internal/sockerr/sockerr.go
@@ -19,6 +19,11 @@
 	return false
 }
 
+// Short says whether the system was short of descriptors or memory: it may be for a while.
+func Short(err error) bool {
+	return Passing(err) && !errors.Is(err, syscall.EINTR) && !errors.Is(err, syscall.EAGAIN)
+}
+
 // PassingListen says whether an address that could not be listened on may be had soon: beside what passes, another process may be about to
 // leave it, and the interface that has it may be about to come up.
 func PassingListen(err error) bool {
--- a/internal/sockerr/sockerr_test.go
+++ b/internal/sockerr/sockerr_test.go
@@ -31,6 +31,9 @@
 		{errors.New("another"), false, false},
 		{nil, false, false},
 	} {
+		if short := errors.Is(c.err, syscall.ENOBUFS) || errors.Is(c.err, syscall.ENFILE); Short(c.err) != short {
+			t.Errorf("%v: short %v, want %v", c.err, !short, short)
+		}
 		if Passing(c.err) != c.passing || PassingListen(c.err) != c.listen {
 			t.Errorf("%v: %v, %v; want %v, %v", c.err, Passing(c.err), PassingListen(c.err), c.passing, c.listen)
 		}
