--- /dev/null
+++ b/internal/soak/checker_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+// judged is what the checker says of a play of one process that was up for 20 s and told to leave at 10 s, with these tries.
+func judged(t *testing.T, tries ...*request) []string {
+	t.Helper()
+	p := &play{record: newRecord(), requests: newRequests(), counts: map[string]int{}, catalogue: &catalogue{made: map[string]int{}}, directory: &directory{},
+		plan: Plan{Site: Site{ReadDeadline: 2 * time.Second, BookDeadline: 2 * time.Second, Window: 30 * time.Second, DrainGrace: time.Second, MemoryMB: 32, Sockets: 64}}}
+	p.lives = []*life{{number: 1, started: 0, ready: time.Millisecond, told: 10 * time.Second, ended: 20 * time.Second}}
+	for at := time.Duration(0); at < 20*time.Second; at += time.Second {
+		p.directory.heard = append(p.directory.heard, at)
+	}
+	for _, q := range tries {
+		q.life = 1
+		p.requests.byID[q.id] = q
+		p.requests.list = append(p.requests.list, q)
+	}
+	var rules []string
+	for _, b := range p.judge().Breaches {
+		rules = append(rules, b.Rule)
+	}
+	return rules
+}
+
+// TestChecker: what breaks a rule is found, and what does not is not.
+func TestChecker(t *testing.T) {
+	const s = time.Second
+	served := func(at time.Duration, of string) []answer { return []answer{{at, "ACK", result(of)}} }
+	word := func(at time.Duration, w string) []answer { return []answer{{at, w, ""}} }
+	starts := func(at ...time.Duration) []time.Duration { return at }
+	for _, c := range []struct {
+		name  string
+		tries []*request
+		want  []string
+	}{
+		{"served", []*request{{id: "a", class: "read", written: s, due: 3 * s, starts: starts(s), answers: served(2*s, "a")}}, nil},
+		{"refused unrun", []*request{{id: "a", class: "book", key: "k", written: s, due: 3 * s, answers: word(s, "NAK")}}, nil},
+		{"never answered", []*request{{id: "a", class: "read", written: s, due: 3 * s}}, []string{RuleLost}},
+		{"answered too late", []*request{{id: "a", class: "read", written: s, due: 3 * s, answers: word(4*s, "FAIL")}}, []string{RuleLost}},
+		{"answered twice", []*request{{id: "a", class: "read", written: s, due: 3 * s, answers: append(word(2*s, "FAIL"), word(2*s, "NAK")...)}}, []string{RuleDuplicate}},
+		{"another's result", []*request{{id: "a", class: "read", written: s, due: 3 * s, starts: starts(s), answers: served(2*s, "b")}}, []string{RuleLost}},
+		{"the result of another try of its key", []*request{
+			{id: "a", class: "book", key: "k", written: s, due: 3 * s, starts: starts(s), answers: served(2*s, "a")},
+			{id: "b", class: "book", key: "k", written: 2 * s, due: 4 * s, answers: served(3*s, "a")}}, nil},
+		{"a keyed run started twice", []*request{{id: "a", class: "book", key: "k", written: s, due: 3 * s, starts: starts(s, 2*s), answers: served(2*s, "a")}}, []string{RuleDuplicate}},
+		{"a read started twice", []*request{{id: "a", class: "read", written: s, due: 3 * s, starts: starts(s, 2*s), answers: served(2*s, "a")}}, nil},
+		{"a key run by two tries", []*request{
+			{id: "a", class: "book", key: "k", written: s, due: 3 * s, starts: starts(s), answers: word(2*s, "FAIL")},
+			{id: "b", class: "book", key: "k", written: 2 * s, due: 4 * s, starts: starts(2 * s), answers: served(3*s, "b")}}, []string{RuleDuplicate}},
+		{"refused though it ran", []*request{{id: "a", class: "move", written: s, due: 3 * s, starts: starts(s), answers: word(2*s, "NAK")}}, []string{RuleDuplicate}},
+		{"a try refused though its key ran", []*request{
+			{id: "a", class: "book", key: "k", written: s, due: 3 * s, starts: starts(s), answers: word(2*s, "FAIL")},
+			{id: "b", class: "book", key: "k", written: 2 * s, due: 4 * s, answers: word(3*s, "NAK")}}, []string{RuleDuplicate}},
+		{"run after the grace", []*request{{id: "a", class: "read", written: 12 * s, due: 14 * s, starts: starts(12 * s), answers: served(13*s, "a")}}, []string{RuleDrain}},
+		{"run within the grace", []*request{{id: "a", class: "read", written: 11 * s, due: 13 * s, starts: starts(11 * s), answers: served(12*s, "a")}}, nil},
+		{"closed without an answer", []*request{{id: "a", class: "read", written: s, due: 3 * s, ended: byNode, endedAt: 2 * s}}, []string{RuleLost}},
+		{"crossed the close", []*request{{id: "a", class: "read", written: s, due: 3 * s, ended: byNode, endedAt: s + 20*time.Millisecond}}, nil},
+		{"its client left", []*request{{id: "a", class: "read", written: s, due: 3 * s, ended: byClient, endedAt: 2 * s}}, nil},
+		{"given up", []*request{{id: "a", class: "read", written: s, due: 3 * s, undone: true}}, nil},
+		{"a wrong reply to its call", []*request{{id: "a", class: "read", written: s, due: 3 * s, starts: starts(s), wrong: true, answers: served(2*s, "a")}}, []string{RuleLost}},
+	} {
+		if got := judged(t, c.tries...); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestDraw: a seed gives the same plan every time, and only the faults that are asked for.
+func TestDraw(t *testing.T) {
+	for seed := range uint64(50) {
+		first, second := Draw(seed, 10*time.Second, nil), Draw(seed, 10*time.Second, nil)
+		if !reflect.DeepEqual(first, second) {
+			t.Fatalf("seed %d gives two plans", seed)
+		}
+		if stop := first.Site.Stop(); stop > 3700*time.Millisecond || stop < 1300*time.Millisecond {
+			t.Errorf("seed %d: killed after %v", seed, stop)
+		}
+		for _, f := range Draw(seed, 10*time.Second, []FaultKind{Pause}).Faults {
+			if f.Kind != Pause {
+				t.Fatalf("seed %d: %s was not asked for", seed, f.Kind)
+			}
+		}
+	}
+}
