--- a/internal/resp/listener.go
+++ b/internal/resp/listener.go
@@ -80,7 +80,7 @@
 			lim := l.f.opts.Limits
 			g := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
 				limit: lim.Message, since: time.Now(), spare: lim.OpenPerConn * lim.Frame}
-			if g.seat = l.f.seats.Unseated(func() { l.f.evict(g) }); !g.seat.Sit(0) {
+			if g.seat = l.f.seats.Unseated(func() { l.f.evict(g) }); !g.seat.SitSoon() {
 				l.f.receiveUnseated(g)
 			}
 			// Counted as open until Serve has it among its connections: a process that looked in between would
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// SitSoon takes a seat as Take says where one is free, or will be within the grace of newcomers. It returns false at once where that takes longer.
+func (s *Seat) SitSoon() bool {
+	for {
+		seated, wait, possible := s.sitNow()
+		switch {
+		case seated:
+			return true
+		case !possible, wait > s.table.grace:
+			return false
+		}
+		time.Sleep(wait)
+	}
+}
+
 // sitNow takes a seat if one is free, and has somebody go who may go now. Otherwise it tells when the first may, if any.
 func (s *Seat) sitNow() (seated bool, wait time.Duration, possible bool) {
 	t := s.table
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -163,9 +163,9 @@
 	if len(q.starts) > 1 && q.class != "read" {
 		r.breach(RuleDuplicate, fmt.Sprintf("%s (%s) was started %d times: at %v", q.id, q.class, len(q.starts), q.starts), q.id, q.key)
 	}
-	for _, at := range q.starts {
+	for _, s := range q.starts {
 		for _, l := range p.lives {
-			if l.told == 0 || at < l.started || l.ended > 0 && at > l.ended {
+			if l.told == 0 || l.number != s.life || p.plan.Site.Shared { // a process that is replaced is not told to drain
 				continue
 			}
 			if late := q.written - (p.noticed(l) + p.plan.Site.DrainGrace); late > pageSlack+harnessSlack {
@@ -201,13 +201,13 @@
 func (p *play) judgeKey(r *Report, key string, tries []*request) {
 	for _, l := range p.lives {
 		ends := l.ended
-		if ends == 0 {
+		if ends == 0 || p.plan.Site.Shared {
 			ends = p.record.now()
 		}
 		var ran *request
 		for _, q := range tries {
-			for _, at := range q.starts {
-				if at < l.started || at > ends {
+			for _, s := range q.starts {
+				if s.life != l.number && !p.plan.Site.Shared {
 					continue
 				}
 				if ran != nil && ran != q && q.written-ran.written < p.plan.Site.Window {
@@ -219,12 +219,16 @@
 		if ran == nil {
 			continue
 		}
+		// Where processes replace one another the node is one, whichever of them a try reaches.
 		for _, q := range tries {
-			inWindow := q.written > ran.starts[0] && q.written-ran.written < p.plan.Site.Window && q.written < ends
-			if q != ran && inWindow && q.life == l.number && len(q.answers) == 1 && q.answers[0].word == "NAK" {
+			inWindow := q.written > ran.starts[0].at && q.written-ran.written < p.plan.Site.Window && q.written < ends
+			if q != ran && inWindow && (q.life == l.number || p.plan.Site.Shared) && len(q.answers) == 1 && q.answers[0].word == "NAK" {
 				r.breach(RuleDuplicate, fmt.Sprintf("key %s ran as %s, and its try %s was refused", key, ran.id, q.id), key)
 			}
 		}
+		if p.plan.Site.Shared {
+			return
+		}
 	}
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,7 +28,7 @@
 func (p *play) carryOut(f Fault) {
 	switch f.Kind {
 	case ResetRuntime:
-		for _, l := range p.runtimeLinks {
+		for _, l := range p.runtimeLinks() {
 			l.Reset()
 		}
 	case StallToRuntime:
@@ -71,11 +71,12 @@
 	}
 	stalled := conditions
 	stalled.Stalled = true
-	for _, l := range p.runtimeLinks {
+	held := p.runtimeLinks()
+	for _, l := range held {
 		l.Set(d, stalled)
 	}
 	time.Sleep(span)
-	for _, l := range p.runtimeLinks {
+	for _, l := range held {
 		l.Set(d, conditions)
 	}
 }
@@ -101,18 +102,15 @@
 
 // reload has the process read a configuration that names another way to the runtime.
 func (p *play) reload() {
-	p.mu.Lock()
-	p.linkNo = 1 - p.linkNo
-	p.mu.Unlock()
-	if p.configure() != nil {
+	l := p.current()
+	if l == nil {
 		return
 	}
-	if l := p.current(); l != nil {
-		p.mu.Lock()
-		ready := l.ready > 0 // before that the signal would end it
-		p.mu.Unlock()
-		if ready {
-			p.signal(l, syscall.SIGHUP)
-		}
+	p.mu.Lock()
+	l.link = 1 - l.link
+	ready := l.ready > 0 // before that the signal would end it
+	p.mu.Unlock()
+	if p.configure(l) == nil && ready {
+		p.signal(l, syscall.SIGHUP)
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,7 @@
 	BookMayOmitCall bool
 	Sockets         int
 	MemoryMB        int
+	Shared          bool // clients come from a listener that all processes of the node inherit, and each process replaces the one before in service
 }
 
 // killSpare is by how much the kill comes after the longest deadline, and killDeadlineMost the most of a deadline that it waits for.
@@ -120,8 +121,9 @@
 		f.Step = []time.Duration{time.Hour, -time.Hour, 5 * time.Second, -7 * time.Second, 0}[r.IntN(5)]
 		p.Faults = append(p.Faults, f)
 	}
+	p.Site.Shared = r.IntN(4) == 0
 	for at := between(r, time.Second, length/2); at < length; at += p.Site.Stop() + between(r, 500*time.Millisecond, length/2) {
-		p.Restarts = append(p.Restarts, Restart{At: at, Kill: r.IntN(4) == 0, Signals: 1 + r.IntN(3)})
+		p.Restarts = append(p.Restarts, Restart{At: at, Kill: r.IntN(4) == 0 && !p.Site.Shared, Signals: 1 + r.IntN(3)})
 	}
 	return p
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"sloehitch/internal/faults/linkproxy"
 	"sloehitch/internal/trial"
 )
 
@@ -19,6 +20,9 @@
 type life struct {
 	number  int
 	command *exec.Cmd
+	config  string
+	links   []*linkproxy.Proxy // ways to its runtime; the configuration names one of them
+	link    int                // that one
 	runtime *runtime
 	log     logFile
 
@@ -62,11 +66,23 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, link := range p.runtimeLinks {
-		link.Redirect(rt.listener.Addr().String())
+	rt.life = number
+	l := &life{number: number, runtime: rt, done: make(chan struct{}), config: filepath.Join(p.dir, fmt.Sprintf("config-%d.json", number))}
+	for range 2 {
+		link, err := p.link("runtime", rt.listener.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		l.links = append(l.links, link)
+	}
+	if err := p.configure(l); err != nil {
+		return nil, err
+	}
+	l.command = p.command(l.config)
+	if p.listener != nil {
+		l.command.ExtraFiles = []*os.File{p.listener}
+		l.command.Env = append(l.command.Env, "GW_ACCEPT_FD=3")
 	}
-	l := &life{number: number, runtime: rt, done: make(chan struct{})}
-	l.command = p.command(p.config)
 	l.command.Env = append(l.command.Env, trial.Variable+"="+p.trialDir, "SLOEHITCH_LOG_LEVEL=debug", "TMPDIR="+p.dir)
 	l.command.Stdout, l.command.Stderr = &l.log, &l.log
 	l.started = p.record.add("process", "start", "", "", fmt.Sprint(number))
--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -18,9 +18,15 @@
 	ended    connEnd       // how its connection ended, if it did before the answer
 	endedAt  time.Duration
 	answers  []answer
-	starts   []time.Duration // when the runtime began a run of it
-	wrong    bool            // a wrong reply reached its run
-	resentOf string          // the try that crossed the close of its connection
+	starts   []start
+	wrong    bool   // a wrong reply reached its run
+	resentOf string // the try that crossed the close of its connection
+}
+
+// start is one begin of a run.
+type start struct {
+	at   time.Duration
+	life int // the process that asked for it
 }
 
 // answer is one answer under a request's tag.
@@ -83,11 +89,11 @@
 	return r == nil || r.undone || r.ended != open || len(r.answers) > 0
 }
 
-func (q *requests) started(id string, at time.Duration) {
+func (q *requests) started(id string, s start) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.byID[id]
-	r.starts = append(r.starts, at)
+	r.starts = append(r.starts, s)
 }
 
 func (q *requests) wrongReply(id string) {
--- a/internal/soak/runtime.go
+++ b/internal/soak/runtime.go
@@ -23,6 +23,7 @@
 	record   *Record
 	requests *requests
 	clients  Clients
+	life     int // the process that it works for
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -146,7 +147,7 @@
 		rt.conn.Close()
 	}
 	rt.conn = c
-	rt.record.add("runtime", "link", "", "", fmt.Sprint("from ", read))
+	rt.record.add("runtime", "link", "", "", fmt.Sprint(rt.life, " from ", read))
 	rt.write(map[string]any{"action": "ready", "code": "WARM", "wall_ms": 5000})
 	for _, n := range rt.notices {
 		if n.Pos > read {
@@ -172,7 +173,7 @@
 		return
 	}
 	at := rt.record.add("runtime", "start", m.UID, q.key, m.Lane)
-	rt.requests.started(m.UID, at)
+	rt.requests.started(m.UID, start{at, rt.life})
 	r := &workRun{id: m.UID, began: time.Now(), replies: make(chan string, 4), over: make(chan struct{})}
 	rt.runs[m.UID] = r
 	work := time.Duration(rt.random.ExpFloat64() * float64(rt.clients.Work))
