Cut no connection that makes room before what was read on it is answered

Cause: Front.evict closed the longest of the connections that make room as soon as there were more than limits.Evicted of them, also one on which a request had just been read (the log: its place was given away, then cut, with the refusal unwritten).

--- /dev/null
+++ b/cmd/sloehitch/leave.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"time"
+
+	"sloehitch/internal/clock"
+	"sloehitch/internal/handover"
+)
+
+// leave carries out the notice to leave that came at the given time, as handover.Depart says. Callers hear of it seconds later, so what comes within
+// the grace is still taken; then they are sent elsewhere, what is in hand goes on, and the end comes when nothing is
+// owed and the callers have closed, or just before the kill.
+func (d *daemon) leave(notice time.Time) {
+	stop, sight := d.platform.Stop(), handover.Sight{Grace: time.Duration(d.platform.Logic.DrainGrace) * time.Microsecond, Spare: d.limits.GraceSpare}
+	if inherited() {
+		stop, sight.Inherited = d.platform.StopReplaced(), true // the platform holds the listener: a new process replaces this one
+	}
+	if d.claims != nil {
+		sight.Others = d.claims.Others(d.limits.Others)
+	}
+	sight.Stop = stop
+	plan := handover.Depart(sight)
+	d.leaveLearned(true)
+	d.log.Info("leaving", "stop", stop, "others", sight.Others, "quiet", plan.Quiet)
+	end := notice.Add(stop - d.limits.KillSpare/2)
+	kill := time.After(clock.System{}.Until(notice.Add(stop - d.limits.KillSpare*3/4))) // the core has answered all that is left by then
+	d.node.Leave(notice, stop, plan.Quiet)
+	d.quiet.Store(plan.Quiet)
+	d.leaving.Store(true)
+	d.pulse.Close(!plan.Quiet || d.away())
+	grace := time.After(clock.System{}.Until(notice.Add(plan.Shut)))
+	look := time.NewTicker(d.limits.RetryLeast)
+	defer look.Stop()
+	shut := false
+	for {
+		select {
+		case <-kill:
+			d.log.Info("leaving at the last moment", "open", d.open())
+			d.front.Finish(clock.System{}.Until(end))
+			return
+		case <-d.hup: // what is still owed may need the new addresses
+			d.reload()
+		case s := <-d.freed:
+			d.attach(s)
+		case <-grace:
+			shut = true
+			d.listeners.close() // a refused connection proves that nothing ran
+			d.front.Leave()
+		case <-look.C:
+			d.share()
+			if shut {
+				d.front.Ask() // connections taken just before the listener closed are asked to close too; none is cut
+			}
+			if shut && d.open() == 0 && d.node.Owed() == 0 {
+				d.log.Info("left")
+				return
+			}
+		}
+	}
+}
--- a/cmd/sloehitch/listen.go
+++ b/cmd/sloehitch/listen.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
+	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -46,6 +49,28 @@
 	return l.closed
 }
 
+// clients is the listener for balancers: the one that the platform holds and hands down as the descriptor named in
+// $GW_ACCEPT_FD, so that an old and a new process take from the same queue while one replaces the other; without
+// it, a socket of its own on address.
+func (d *daemon) clients(address string) (net.Listener, error) {
+	text := os.Getenv("GW_ACCEPT_FD")
+	if text == "" {
+		return d.listenPatiently(address)
+	}
+	fd, err := strconv.Atoi(text)
+	if err != nil || fd < 3 {
+		return nil, fmt.Errorf("GW_ACCEPT_FD: %q is not a descriptor above 2", text)
+	}
+	f := os.NewFile(uintptr(fd), "clients")
+	ln, err := net.FileListener(f) // a copy of the descriptor: closing it leaves the platform's own open
+	f.Close()
+	if err != nil {
+		return nil, fmt.Errorf("GW_ACCEPT_FD %d: %w", fd, err)
+	}
+	d.log.Info("clients taken from the inherited listener", "descriptor", fd, "address", ln.Addr().String())
+	return ln, nil
+}
+
 // listenPatiently listens on an address, and tries again for limits.Agree while the reason why it can't be had may pass: a process that
 // ended at once would be taken for one that can't start.
 func (d *daemon) listenPatiently(address string) (net.Listener, error) {
--- a/cmd/sloehitch/serve.go
+++ b/cmd/sloehitch/serve.go
@@ -1,11 +1,8 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"net"
@@ -14,8 +11,6 @@
 	"os/signal"
 	"runtime/debug"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,11 +32,8 @@
 	"sloehitch/internal/limits"
 	"sloehitch/internal/metrics"
 	"sloehitch/internal/node"
-	"sloehitch/internal/ops"
 	"sloehitch/internal/resp"
-	"sloehitch/internal/retune"
 	"sloehitch/internal/runtime"
-	"sloehitch/internal/settings"
 	"sloehitch/internal/store"
 	"sloehitch/internal/tandem"
 	"sloehitch/internal/tlskeys"
@@ -237,57 +229,6 @@
 	return min(lim.Behind, longest+lim.Ahead)
 }
 
-// clients is the listener for balancers: the one that the platform holds and hands down as the descriptor named in
-// $GW_ACCEPT_FD, so that an old and a new process take from the same queue while one replaces the other; without
-// it, a socket of its own on address.
-func (d *daemon) clients(address string) (net.Listener, error) {
-	text := os.Getenv("GW_ACCEPT_FD")
-	if text == "" {
-		return d.listenPatiently(address)
-	}
-	fd, err := strconv.Atoi(text)
-	if err != nil || fd < 3 {
-		return nil, fmt.Errorf("GW_ACCEPT_FD: %q is not a descriptor above 2", text)
-	}
-	f := os.NewFile(uintptr(fd), "clients")
-	ln, err := net.FileListener(f) // a copy of the descriptor: closing it leaves the platform's own open
-	f.Close()
-	if err != nil {
-		return nil, fmt.Errorf("GW_ACCEPT_FD %d: %w", fd, err)
-	}
-	d.log.Info("clients taken from the inherited listener", "descriptor", fd, "address", ln.Addr().String())
-	return ln, nil
-}
-
-// startOps answers the operators' calls where the configuration names an address for them.
-func (d *daemon) startOps() error {
-	if d.platform.Ops == "" {
-		return nil
-	}
-	server := ops.New(operator{d}, d.limits, d.log)
-	listen := func() (net.Listener, error) { return net.Listen("tcp", d.platform.Ops) }
-	if err := d.serveOn("ops", listen, server.Serve); err != nil {
-		return fmt.Errorf("ops: %w", err)
-	}
-	return nil
-}
-
-// operator is what the operators' calls do to the daemon.
-type operator struct{ d *daemon }
-
-func (o operator) Ready() bool { return o.d.ready.Load() && !o.d.leaving.Load() }
-func (o operator) Evacuate()   { o.d.evacuated.Store(true) }
-func (o operator) Activate()   { o.d.evacuated.Store(false) }
-
-func (o operator) Figures() ops.Figures {
-	f := ops.Figures{Active: o.d.node.Owed(), Applied: int(o.d.applied.Load()), Rejected: int(o.d.rejected.Load())}
-	for name, c := range o.d.node.Classes() {
-		f.Classes = append(f.Classes, ops.Class{Name: name, OK: c.Served, Shed: c.Refused, Errors: c.Failed, Tries: c.Ran})
-	}
-	slices.SortFunc(f.Classes, func(a, b ops.Class) int { return strings.Compare(a.Name, b.Name) })
-	return f
-}
-
 // startUwsgi starts the second front where the deployment file says so.
 func (d *daemon) startUwsgi(l *loaded) error {
 	u := l.deploy.Uwsgi
@@ -507,143 +448,6 @@
 	}
 }
 
-// leave carries out the notice to leave that came at the given time, as handover.Depart says. Callers hear of it seconds later, so what comes within
-// the grace is still taken; then they are sent elsewhere, what is in hand goes on, and the end comes when nothing is
-// owed and the callers have closed, or just before the kill.
-func (d *daemon) leave(notice time.Time) {
-	stop, sight := d.platform.Stop(), handover.Sight{Grace: time.Duration(d.platform.Logic.DrainGrace) * time.Microsecond, Spare: d.limits.GraceSpare}
-	if inherited() {
-		stop, sight.Inherited = d.platform.StopReplaced(), true // the platform holds the listener: a new process replaces this one
-	}
-	if d.claims != nil {
-		sight.Others = d.claims.Others(d.limits.Others)
-	}
-	sight.Stop = stop
-	plan := handover.Depart(sight)
-	d.leaveLearned(true)
-	d.log.Info("leaving", "stop", stop, "others", sight.Others, "quiet", plan.Quiet)
-	end := notice.Add(stop - d.limits.KillSpare/2)
-	kill := time.After(clock.System{}.Until(notice.Add(stop - d.limits.KillSpare*3/4))) // the core has answered all that is left by then
-	d.node.Leave(notice, stop, plan.Quiet)
-	d.quiet.Store(plan.Quiet)
-	d.leaving.Store(true)
-	d.pulse.Close(!plan.Quiet || d.away())
-	grace := time.After(clock.System{}.Until(notice.Add(plan.Shut)))
-	look := time.NewTicker(d.limits.RetryLeast)
-	defer look.Stop()
-	shut := false
-	for {
-		select {
-		case <-kill:
-			d.log.Info("leaving at the last moment", "open", d.open())
-			d.front.Finish(clock.System{}.Until(end))
-			return
-		case <-d.hup: // what is still owed may need the new addresses
-			d.reload()
-		case s := <-d.freed:
-			d.attach(s)
-		case <-grace:
-			shut = true
-			d.listeners.close() // a refused connection proves that nothing ran
-			d.front.Leave()
-		case <-look.C:
-			d.share()
-			if shut {
-				d.front.Ask() // connections taken just before the listener closed are asked to close too; none is cut
-			}
-			if shut && d.open() == 0 && d.node.Owed() == 0 {
-				d.log.Info("left")
-				return
-			}
-		}
-	}
-}
-
-// reload takes over a new configuration: the links move to its addresses, each by itself. What can't be taken over
-// while serving is logged; a bad file leaves all as it is.
-func (d *daemon) reload() {
-	l, err := d.load()
-	if err == nil {
-		err = d.retune(l.platform)
-	}
-	if err != nil {
-		d.rejected.Add(1)
-		d.log.Error("the configuration stays as it was", "error", err)
-		return
-	}
-	defer d.applied.Add(1)
-	p, old := l.platform, d.platform
-	if p.Name != old.Name || p.Listen != old.Listen || p.Ops != old.Ops || p.Caps != old.Caps ||
-		l.deploy.Uwsgi.Listen != d.deploy.Load().Uwsgi.Listen || (p.Runtime == "") != (old.Runtime == "") || (p.Catalog == "") != (old.Catalog == "") {
-		d.log.Warn("name, addresses to listen on, limits, settings and which links there are take a restart")
-	}
-	if was, is := d.deploy.Load().Uwsgi, l.deploy.Uwsgi; was.TLS != is.TLS || was.ServersTLS != is.ServersTLS {
-		d.log.Warn("which files hold the TLS keys takes a restart; what is in them is read again")
-	}
-	if l.deploy.Ledger != d.deploy.Load().Ledger {
-		d.log.Warn("the section [ledger] stays as it was: it takes a restart")
-	}
-	for _, k := range d.keys {
-		_ = k.Reload() // said in the log; the old ones stay then
-	}
-	if d.link != nil && p.Runtime != "" {
-		d.link.Move(p.Runtime)
-	}
-	if d.below != nil && p.Catalog != "" {
-		d.below.Move(p.Catalog)
-	}
-	d.pulse.Move(p.Lookup)
-	d.platform = p
-	d.deploy.Store(l.deploy)
-	if d.servers != nil {
-		d.follow(store.UwsgiServers, d.store.Get(store.UwsgiServers))
-	}
-	d.log.Info("configuration taken over", "runtime", p.Runtime, "catalogue", p.Catalog, "directory", p.Lookup)
-}
-
-// retune has the core, its module and the fronts take the settings of p where they differ from the running ones,
-// and writes into p what they come to (package retune). It errs, and changes nothing, where the file is to be
-// turned down whole.
-func (d *daemon) retune(p *config.Platform) error {
-	old := d.platform
-	if bytes.Equal(p.Raw, old.Raw) {
-		p.Logic, p.Names = old.Logic, old.Names
-		return nil
-	}
-	running, next, err := flat(old.Raw), flat(p.Raw), error(nil)
-	if err = retune.Check(p.Raw, running, next); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	plan, err := retune.Lay(old.Logic, p.Logic)
-	if err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
-	if len(plan.Settings.Classes) > retune.MostClasses {
-		return fmt.Errorf("settings: %d classes with those kept for requests in hand, %d at most until a restart", len(plan.Settings.Classes), retune.MostClasses)
-	}
-	if err := d.node.Retune(plan.Settings); err != nil {
-		return err
-	}
-	d.front.Retune(plan.Names)
-	if plan.Tenants {
-		d.log.Warn("the tenants stay as they were: they take a restart")
-	}
-	names := *old.Names
-	names.Classes = plan.Names
-	p.Logic, p.Names = plan.Settings, &names
-	d.log.Info("settings retuned", "added", plan.Added, "dropped", plan.Dropped, "classes", len(plan.Settings.Classes))
-	return nil
-}
-
-// flat is the settings object by path; nil where it is no object, which the file's reading has ruled out.
-func flat(raw json.RawMessage) map[string]string {
-	var object map[string]any
-	if json.Unmarshal(raw, &object) != nil {
-		return nil
-	}
-	return settings.Flatten(object)
-}
-
 func (d *daemon) logTotals() {
 	counts, hand, keys := d.node.Totals()
 	args := []any{"core", counts, "in_hand", hand, "keys", keys, "connections", d.open()}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,13 +131,6 @@
 	return [sha256.Size]byte(h.Sum(nil))
 }
 
-// Counts are totals since the start, for the log.
-type Counts struct {
-	Read, Served, Refused, Failed, Gone, Late, Joined, Ran int
-	Restored, Unrecorded                                   int // bookings of an earlier process; starts that could not be recorded
-	Abroad, Shared                                         int // tries that waited for another process's run; answered with what came of one
-}
-
 // Node owns all requests in hand.
 type Node struct {
 	opts Options
@@ -156,55 +149,6 @@
 	classes map[string]*ClassCounts // by the name of the class
 }
 
-// ClassCounts are what one class of requests came to since the start: the figures that operators read.
-type ClassCounts struct {
-	Served, Refused, Failed int // final answers of each kind
-	Ran                     int // runs handed to the runner
-}
-
-// class is the counts of r's class, made where there are none yet.
-func (n *Node) class(r *request) *ClassCounts {
-	return n.named(n.opts.Settings.Classes[r.Class].Name, true)
-}
-
-// named is the counts of a class by name, made where there are none yet and it is a class of the settings (known)
-// or there is room for more names; nil otherwise.
-func (n *Node) named(name string, known bool) *ClassCounts {
-	c := n.classes[name]
-	if c == nil && (known || len(n.classes) < mostNames) {
-		c = &ClassCounts{}
-		n.classes[name] = c
-	}
-	return c
-}
-
-// mostNames bounds the names of classes counted, those that callers made up included.
-const mostNames = 512
-
-// Unknown counts a request that a front refused for a class that the settings do not name, under that name, as
-// long as there is room for more names; balancers learn of a retuning late.
-func (n *Node) Unknown(class string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if c := n.named(class, false); c != nil {
-		c.Refused++
-	}
-}
-
-// Classes returns the counts of each class named in the settings, and of any other that has counts, by name.
-func (n *Node) Classes() map[string]ClassCounts {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	out := make(map[string]ClassCounts, len(n.classes))
-	for _, c := range n.opts.Settings.Classes {
-		out[c.Name] = ClassCounts{}
-	}
-	for name, c := range n.classes {
-		out[name] = *c
-	}
-	return out
-}
-
 // New returns a node; Serve makes it work.
 func New(o Options) *Node {
 	n := &Node{opts: o, classes: map[string]*ClassCounts{}, byID: map[string]*request{}, byNum: map[uint64]*request{},
@@ -507,52 +451,6 @@
 	n.writeOff(r)
 }
 
-// Leave is the notice that the process is to be stopped so long after it came. The grace and the kill count from the
-// notice, however late the core hears of it. The module does not hear of it where it is quiet: another process of this
-// node goes on, so callers are not to be kept away.
-func (n *Node) Leave(notice time.Time, stop time.Duration, quiet bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.leaving.IsZero() {
-		return
-	}
-	n.leaving, n.kill = notice, notice.Add(stop)
-	left := max(0, n.kill.Sub(n.opts.Clock.Now()))
-	if !quiet {
-		n.opts.Gate.Report(gate.Leaving(left))
-	}
-	n.opts.Clock.AfterFunc(left-n.opts.Limits.KillSpare, n.answerAll)
-}
-
-// Owed is the number of requests that are owed an answer.
-func (n *Node) Owed() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.open
-}
-
-// answerAll guards the end of a drain: all that was read is answered before the stop.
-func (n *Node) answerAll() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range n.byID {
-		if !r.settled {
-			n.giveUp(r)
-		}
-	}
-}
-
-// tooLate says whether a request came too late after the notice to leave to be run. A caller tells when its first byte
-// came; it has come when the last one has, and one that writes slowly may take long over it.
-func (n *Node) tooLate(r *request) bool {
-	return !n.leaving.IsZero() && r.read.After(n.leaving.Add(span(n.opts.Settings.DrainGrace)))
-}
-
-// over says whether what is read now comes after answerAll: nobody would answer it before the kill.
-func (n *Node) over(now time.Time) bool {
-	return !n.leaving.IsZero() && !now.Before(n.kill.Add(-n.opts.Limits.KillSpare))
-}
-
 // ranHere says whether some try of a keyed request ran on this node, so that this one may be answered from its result.
 func (n *Node) ranHere(r *request) bool {
 	return r.Key != "" && (n.keys.ran(r) || n.heldAbroad(r))
@@ -578,25 +476,3 @@
 		}
 	}
 }
-
-// Hand is how many requests run, and how many wait here to be run.
-func (n *Node) Hand() (running, held int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range n.byNum {
-		switch {
-		case r.stage == runs:
-			running++
-		case r.stage != joined && r.stage != ended:
-			held++
-		}
-	}
-	return running, held
-}
-
-// Totals are the counts so far, and the requests in hand.
-func (n *Node) Totals() (c Counts, hand, keys int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.counts, len(n.byNum), len(n.keys.entries)
-}
--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -299,6 +299,40 @@
 	until(t, "the first was cut", func() bool { _, err := peers[0].Write([]byte("x")); return err != nil })
 }
 
+// TestManyMakeRoomAtOnce: more connections make room in one moment than may wait for their peers, and on each a request has just come. Each that
+// was read is refused on its connection, none is cut before.
+func TestManyMakeRoomAtOnce(t *testing.T) {
+	const conns = 6
+	for play := range 30 {
+		f, _, ln := opened(t, mood{}, func(l *limits.Limits) { l.Evicted, l.Unseated = 1, conns })
+		var peers []*standin.Balancer
+		for range conns {
+			b := standin.Dial(t, ln.Addr().String())
+			b.Send(standin.Array("PING", "1"))
+			b.Read()
+			peers = append(peers, b)
+		}
+		until(t, "all idle", func() bool { return !slices.ContainsFunc(f.all(), func(k *conn) bool { return !k.idle() }) })
+		all := f.all()
+		for _, k := range all {
+			k.seat.Leave() // it was given away
+		}
+		for _, b := range peers {
+			b.Do(7, "book", req, time.Now(), "body", "")
+		}
+		for _, k := range all {
+			f.evict(k.net)
+		}
+		for i, b := range peers {
+			if got := b.Read(); len(got) < 2 || got[1] != "NAK" {
+				t.Fatalf("play %d: %q on connection %d, want a refusal", play, got, i)
+			}
+			b.Close()
+		}
+		until(t, "no more wait than may", func() bool { f.evicting.Lock(); defer f.evicting.Unlock(); return len(f.evicted) <= 1 })
+	}
+}
+
 // TestNoPlaceForANewConnection: all places are busy, and more connections come with a request than may wait beside them. Each is answered: refused,
 // or failed where its key has run. One that says nothing is closed, and those in their places are served.
 func TestNoPlaceForANewConnection(t *testing.T) {
--- a/internal/resp/front.go
+++ b/internal/resp/front.go
@@ -95,11 +95,9 @@
 	f.opts.Log.Debug("a connection makes room for another", "peer", g.RemoteAddr())
 	g.stop()
 	f.evicting.Lock()
-	defer f.evicting.Unlock()
-	if f.evicted = append(f.evicted, g); len(f.evicted) > f.opts.Limits.Evicted {
-		f.evicted[0].Close()
-		f.evicted = f.evicted[1:]
-	}
+	f.evicted = append(f.evicted, g)
+	f.evicting.Unlock()
+	f.trimEvicted()
 	time.AfterFunc(f.opts.Limits.Linger, func() {
 		g.Close()
 		f.evicting.Lock()
@@ -108,6 +106,25 @@
 	})
 }
 
+// trimEvicted cuts connections that made room where more than limits.Evicted of them wait for their peers: the longest of those on which
+// nothing is left to write. One on which a request was just read keeps its place until that is answered, unless there are far too many.
+func (f *Front) trimEvicted() {
+	f.evicting.Lock()
+	defer f.evicting.Unlock()
+	lim := f.opts.Limits
+	for len(f.evicted) > lim.Evicted {
+		i := slices.IndexFunc(f.evicted, func(g *guarded) bool { return g.settled.Load() })
+		if i < 0 {
+			if len(f.evicted) <= lim.Evicted+lim.Unseated {
+				return
+			}
+			i = 0
+		}
+		f.evicted[i].Close()
+		f.evicted = slices.Delete(f.evicted, i, i+1)
+	}
+}
+
 // receiveUnseated takes a connection for which there is no place now: what it has to say within limits.Newcomer is read, and then it waits
 // for a place, or is refused. Closed at once it would take along a request that has arrived; read only once it has a place, the request would
 // be late. A few may be there at once; it waits for its turn.
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,10 +30,18 @@
 	unseated bool // there is no place for it: it is refused and ends
 	spare    int  // bytes that may still be read once the reading is to stop
 
+	settled atomic.Bool // nothing is left to write on it
+
 	mu       sync.Mutex
 	stopping bool
 }
 
+// Close closes the connection.
+func (g *guarded) Close() error {
+	g.settled.Store(true)
+	return g.Conn.Close()
+}
+
 // stop ends the reading from this side: what has arrived by now is still read, up to spare bytes, what comes later is not. It may be called
 // from any goroutine, and more than once.
 func (g *guarded) stop() {
--- a/internal/resp/output.go
+++ b/internal/resp/output.go
@@ -125,6 +125,8 @@
 		return
 	}
 	go func() {
+		k.net.settled.Store(true)
+		k.front.trimEvicted()
 		span := k.front.opts.Limits.Linger
 		if k.net.unseated {
 			span /= unseatedPart
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -44,7 +44,8 @@
 // clientConn is one connection of a client.
 type clientConn struct {
 	net.Conn
-	number int
+	number  int
+	writing sync.Mutex // held while a message is written: a slow client's comes in pieces
 
 	mu     sync.Mutex
 	tag    int
@@ -100,10 +101,14 @@
 	}
 	c.play.requests.change(q, func() { q.undone = true })
 	c.play.record.add("client", "undo", q.id, q.key, "")
+	k.writing.Lock()
+	defer k.writing.Unlock()
 	_, _ = io.WriteString(k, array("UNDO", tag)) // where the connection is over nobody waits either
 }
 
 func (c *client) write(k *clientConn, text string) error {
+	k.writing.Lock()
+	defer k.writing.Unlock()
 	_ = k.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	if c.habit != slow {
 		_, err := io.WriteString(k, text)
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -95,9 +95,14 @@
 	return err
 }
 
-// sharedListener listens on an address for processes to inherit.
+// sharedListener listens on an address for processes to inherit. Where this process starts another in the same moment, that one has the
+// descriptors that were just closed here until it runs its program: the address is to be had a moment later.
 func sharedListener(address string) (*os.File, error) {
 	ln, err := net.Listen("tcp", address)
+	for tries := 0; err != nil && tries < 100; tries++ {
+		time.Sleep(machineLook)
+		ln, err = net.Listen("tcp", address)
+	}
 	if err != nil {
 		return nil, err
 	}
