--- a/cmd/sloehitch/leave.go
+++ b/cmd/sloehitch/leave.go
@@ -36,7 +36,8 @@
 		select {
 		case <-kill:
 			d.log.Info("leaving at the last moment", "open", d.open())
-			d.front.Finish(clock.System{}.Until(end))
+			// Where the process stood still as its time came, what was just answered still has to be written.
+			d.front.Finish(max(clock.System{}.Until(end), d.limits.KillSpare/2))
 			return
 		case <-d.hup: // what is still owed may need the new addresses
 			d.reload()
