Read what came while the process stood still past a deadline

Cause: a read whose deadline had passed while the process was stopped failed at once, as if nothing had come, and its connection ended with a request unread on it.

--- a/internal/resp/crossings_test.go
+++ b/internal/resp/crossings_test.go
@@ -233,15 +233,23 @@
 		})
 		return err == nil && there
 	})
+	buf := make([]byte, 4096)
+	g.since = time.Now().Add(-2 * g.limit) // it stood still since before the request came
+	if n, err := g.Read(buf[:10]); err != nil || !strings.HasPrefix(string(buf[:n]), "*5") {
+		t.Errorf("%q, %v past the deadline, want what has arrived", buf[:n], err)
+	}
 	g.stop()
 	g.stop()
-	buf := make([]byte, 4096)
-	if n, err := g.Read(buf); err != nil || !strings.HasPrefix(string(buf[:n]), "*5") {
-		t.Errorf("%q, %v, want the request", buf[:n], err)
+	if n, err := g.Read(buf); err != nil || !strings.Contains(string(buf[:n]), "body") {
+		t.Errorf("%q, %v, want the rest of the request", buf[:n], err)
 	}
 	if n, err := g.Read(buf); n != 0 || !errors.Is(err, errStopped) {
 		t.Errorf("%d bytes, %v, want the end of reading", n, err)
 	}
+	late := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame}, limit: time.Hour, since: time.Now().Add(-2 * time.Hour), spare: lim.Frame}
+	if n, err := late.Read(buf); n != 0 || !errors.Is(err, errSlow) {
+		t.Errorf("%d bytes, %v where nothing has come by the deadline", n, err)
+	}
 	b.Close()
 	g.spare = 1
 	until(t, "the peer's end is seen", func() bool { _, err := g.Read(buf); return errors.Is(err, io.EOF) })
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -112,10 +112,15 @@
 		time.Sleep(passingRest) // nothing is wrong with the connection, and its requests are owed answers
 		n, err = g.Conn.Read(b)
 	}
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && g.isStopping() {
-		return g.readArrived(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
 	}
-	return n, err
+	// The deadline may have passed while the process stood still, and what came meanwhile came in time.
+	n, arrived := g.readArrived(b)
+	if errors.Is(arrived, errStopped) && !g.isStopping() {
+		return 0, err
+	}
+	return n, arrived
 }
 
 // passingMost is how many times in a row a read is tried again after errors that pass by themselves.
