--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -114,7 +114,7 @@
 		if a.word == "NAK" && len(q.starts) > 0 && q.class != "read" {
 			r.breach(RuleDuplicate, fmt.Sprintf("%s was refused, and it ran", q.id), q.id, q.key)
 		}
-	case q.written == 0, q.undone, q.ended == byClient, l.killed && (l.ended == 0 || q.due > l.ended-harnessSlack):
+	case q.written == 0, q.undone, q.ended == byClient, l.killed && (l.ended == 0 || q.due+p.paused(q.written, q.due) > l.ended-harnessSlack):
 	case q.ended == byNode && p.crossed(q) && !read:
 		r.Crossed++
 	case q.ended == byNode:
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -76,11 +76,11 @@
 	if retry {
 		fields += ",resent=1"
 	}
-	tag := k.register(q)
 	p.requests.change(q, func() {
 		q.life, q.conn, q.resentOf = p.life(), k.number, instead
 		q.due = stamp.Sub(p.record.began) + wait
 	})
+	tag := k.register(q) // from here on the connection's reader may have it
 	p.record.add("client", "write", q.id, key, fmt.Sprint(class, " on ", k.number, " due ", q.due))
 	text := array("DO", tag, class, fields, q.body)
 	if err := c.write(k, text); err != nil {
