Have the test of a stopped run wait until its server was asked

The program is right.

Change: the test waits until the server has read of the request, which is stricter than that it has a connection.

--- a/internal/uwsgi/uwsgi_test.go
+++ b/internal/uwsgi/uwsgi_test.go
@@ -604,13 +604,29 @@
 
 // TestStopped: a server that has said nothing by the time at which the core stops its run is held to have failed, if the client still waits.
 func TestStopped(t *testing.T) {
-	s := standin.NewScripted(t, standin.Script{{Until: "never"}})
-	r := newRig(t, []string{s.Address}, nil)
+	ln := standin.Listen(t)
+	read := make(chan struct{})
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { conn.Close() })
+		if _, err := conn.Read(make([]byte, 4096)); err == nil {
+			close(read) // stopped before that, it would not have been asked: nothing would be held against it
+		}
+	}()
+	r := newRig(t, []string{ln.Addr().String()}, nil)
 	c := r.dial(t)
 	if _, err := io.WriteString(c, standin.Packet(t, "", at("/write")...)); err != nil {
 		t.Fatal(err)
 	}
-	standin.WaitFor(t, "it runs", func() bool { return s.Connections() == 1 && len(r.runs()) == 1 })
+	select {
+	case <-read:
+	case <-time.After(standin.Patience):
+		t.Fatal("the server got nothing")
+	}
+	standin.WaitFor(t, "it runs", func() bool { return len(r.runs()) == 1 })
 	for id := range r.runs() {
 		r.pool.Stop(id)
 	}
