Fix the soak directory's address once, so that its outages race with nobody

The directory's stand-in wrote its address anew after each outage (play.go, up) while a process's configuration was being written from it (configure).

Change: the address is set once, as the first socket opens; later sockets are opened on it.

--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -343,26 +343,35 @@
 	record *Record
 	mu     sync.Mutex
 	conn   *net.UDPConn
-	addr   *net.UDPAddr
+	addr   *net.UDPAddr // fixed once the first socket is open
 	heard  []time.Duration
 	down   []pause
 }
 
 func newDirectory(record *Record) (*directory, error) {
-	d := &directory{record: record, addr: &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}}
-	if err := d.up(); err != nil {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
 		return nil, err
 	}
+	d := &directory{record: record, addr: conn.LocalAddr().(*net.UDPAddr)}
+	d.hear(conn)
 	return d, nil
 }
 
+// up opens the directory's socket again, at the address that it had.
 func (d *directory) up() error {
 	conn, err := net.ListenUDP("udp4", d.addr)
 	if err != nil {
 		return err
 	}
+	d.hear(conn)
+	return nil
+}
+
+// hear takes reports from a socket until it is closed.
+func (d *directory) hear(conn *net.UDPConn) {
 	d.mu.Lock()
-	d.conn, d.addr = conn, conn.LocalAddr().(*net.UDPAddr)
+	d.conn = conn
 	d.mu.Unlock()
 	go func() {
 		text := make([]byte, 512)
@@ -378,7 +387,6 @@
 			}
 		}
 	}()
-	return nil
 }
 
 func (d *directory) address() string { return d.addr.String() }
