Refuse a uwsgi request that had arrived as its caller made room

The same fault as on balancers' connections, found by looking for it: a caller that made room was closed over its request, though that had arrived whole while the process stood still (Front.Serve closed it; Front.serve returned without a word where the seat was gone).

Change: caller.evict wakes the reader instead of closing; what has arrived is read (linger.ReadArrived, shared with the other front). A whole request is refused with 503, half of one or nothing is let go without a word, as before.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -3,6 +3,8 @@
 package linger
 
 import (
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -63,3 +65,42 @@
 	})
 	return ended || err != nil
 }
+
+// ErrNothing says that nothing has arrived on a connection.
+var ErrNothing = errors.New("nothing has arrived")
+
+// ReadArrived reads what has arrived on a connection, without waiting; with a deadline in the past the connection's own Read would leave it.
+// Where nothing has it returns ErrNothing, and if end is set it shuts the sending side down by the very next system call: a request that arrives
+// in between would get no answer. On a connection without a descriptor of its own, such as one of TLS, nothing has arrived.
+func ReadArrived(c net.Conn, b []byte, end bool) (n int, err error) {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, ErrNothing
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var readErr error
+	err = control.Control(func(fd uintptr) {
+		for {
+			if n, readErr = unix.Read(int(fd), b); readErr != unix.EINTR {
+				break
+			}
+		}
+		if readErr == unix.EAGAIN && end {
+			_ = unix.Shutdown(int(fd), unix.SHUT_WR) // it fails only where the connection has ended already
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr == unix.EAGAIN:
+		return 0, ErrNothing
+	case readErr != nil:
+		return 0, readErr
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
--- a/internal/resp/guard.go
+++ b/internal/resp/guard.go
@@ -2,16 +2,13 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"sloehitch/internal/linger"
 	"sloehitch/internal/seats"
 	"sloehitch/internal/sockerr"
 )
@@ -120,8 +117,8 @@
 		return g.readRest(b)
 	}
 	// The deadline may have passed while the process stood still, and what came meanwhile came in time.
-	n, arrived := g.readArrived(b, false)
-	if errors.Is(arrived, errNothing) {
+	n, arrived := linger.ReadArrived(g.Conn, b, false)
+	if errors.Is(arrived, linger.ErrNothing) {
 		return 0, err
 	}
 	return n, arrived
@@ -138,8 +135,8 @@
 func (g *guarded) readRest(b []byte) (int, error) {
 	for g.spare > 0 {
 		last := g.owes == nil || !g.owes()
-		n, err := g.readArrived(b, last)
-		if !errors.Is(err, errNothing) {
+		n, err := linger.ReadArrived(g.Conn, b, last)
+		if !errors.Is(err, linger.ErrNothing) {
 			g.spare -= n
 			return n, err
 		}
@@ -150,41 +147,3 @@
 	}
 	return 0, errStopped
 }
-
-// errNothing says that nothing has arrived.
-var errNothing = errors.New("nothing has arrived")
-
-// readArrived reads what has arrived, without waiting; with a deadline in the past the connection's own Read would leave it. Where nothing has
-// and last is set, the sending side is shut down by the very next system call: a request that arrives in between would get no answer.
-func (g *guarded) readArrived(b []byte, last bool) (n int, err error) {
-	raw, ok := g.Conn.(syscall.Conn)
-	if !ok {
-		return 0, errNothing
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var readErr error
-	err = control.Control(func(fd uintptr) {
-		for {
-			if n, readErr = unix.Read(int(fd), b); readErr != unix.EINTR {
-				break
-			}
-		}
-		if readErr == unix.EAGAIN && last {
-			_ = unix.Shutdown(int(fd), unix.SHUT_WR) // it fails only where the connection has ended already
-		}
-	})
-	switch {
-	case err != nil:
-		return 0, err
-	case readErr == unix.EAGAIN:
-		return 0, errNothing
-	case readErr != nil:
-		return 0, readErr
-	case n == 0:
-		return 0, io.EOF
-	}
-	return n, nil
-}
--- /dev/null
+++ b/internal/uwsgi/evict_test.go
@@ -0,0 +1,80 @@
+package uwsgi
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"sloehitch/internal/limits"
+	"sloehitch/internal/standin"
+	"sloehitch/internal/uwsgi/packet"
+)
+
+// TestARequestOfACallerThatMakesRoom: a caller's request arrives while the process stands still, and as it goes on another takes the caller's place
+// before the request is read. The connection was closed over it without an answer. It is refused; a caller that has said nothing, or half a
+// request, is let go without a word.
+func TestARequestOfACallerThatMakesRoom(t *testing.T) {
+	request, err := packet.Append(nil, 0, 0, at("/", length(0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := string(request)
+	for _, c := range []struct{ name, sent, want string }{
+		{"a whole request", whole, "HTTP/1.1 503"},
+		{"half of one", whole[:len(whole)/2], ""},
+		{"nothing", "", ""},
+	} {
+		r := newRig(t, nil, func(o *Options, p *PoolOptions) { o.Limits.Message = standin.Patience })
+		ln := standin.Listen(t)
+		client, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		ours, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		k := &caller{Conn: ours}
+		seat := r.seats.Take(k.evict)
+		if _, err := io.WriteString(client, c.sent); err != nil {
+			t.Fatal(err)
+		}
+		seat.Leave()
+		k.evict()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			defer ours.Close()
+			r.serve(k, seat, "")
+		}()
+		if err := client.SetReadDeadline(time.Now().Add(standin.Patience)); err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(client)
+		if c.want != "" && err != nil || !strings.HasPrefix(string(got), c.want) || c.want == "" && len(got) > 0 {
+			t.Errorf("%s: %q, %v, want %q", c.name, got, err, c.want)
+		}
+		client.Close()
+		<-served
+	}
+}
+
+// TestACrowdOfCallersKeepsItsDescriptors: callers that say nothing make room for one another, and none of them keeps its connection.
+func TestACrowdOfCallersKeepsItsDescriptors(t *testing.T) {
+	r := newRig(t, nil, func(o *Options, p *PoolOptions) {
+		o.Limits = limits.For(64, 256)
+		o.Limits.UwsgiConns, o.Limits.Newcomer = 2, time.Millisecond
+	})
+	var callers []net.Conn
+	for range 20 {
+		callers = append(callers, r.dial(t))
+	}
+	for i, c := range callers[:18] {
+		if got, _ := io.ReadAll(c); len(got) > 0 {
+			t.Errorf("caller %d, that said nothing, got %q", i, got)
+		}
+	}
+}
--- a/internal/uwsgi/front.go
+++ b/internal/uwsgi/front.go
@@ -109,7 +109,8 @@
 			c.Close()
 			continue
 		}
-		seat := f.seats.Take(func() { c.Close() }) // of a caller whose request is not whole: nothing is owed
+		k := &caller{Conn: c}
+		seat := f.seats.Take(k.evict)
 		if seat == nil {
 			c.Close()
 			f.leave(host)
@@ -120,7 +121,7 @@
 			defer f.leave(host)
 			defer seat.Leave()
 			defer c.Close()
-			f.serve(c, seat, host)
+			f.serve(k, seat, host)
 		}()
 	}
 }
@@ -165,14 +166,16 @@
 var errPing = errors.New("ping")
 
 // serve reads one request, has it answered and closes the connection.
-func (f *Front) serve(c net.Conn, seat *seats.Seat, host string) {
-	lim := f.opts.Limits
-	if err := c.SetReadDeadline(time.Now().Add(lim.Message)); err != nil {
+func (f *Front) serve(k *caller, seat *seats.Seat, host string) {
+	lim, c := f.opts.Limits, k.Conn
+	if err := k.readBy(time.Now().Add(lim.Message)); err != nil {
 		return
 	}
-	head, vars, err := f.readHead(c)
+	head, vars, err := f.readHead(k)
 	if err != nil {
-		f.refuseInput(c, err)
+		if !k.isEvicted() { // else its request is not whole, and nothing is owed
+			f.refuseInput(c, err)
+		}
 		return
 	}
 	read := time.Now()
@@ -182,7 +185,11 @@
 		f.refuseInput(c, err)
 		return
 	}
-	if !seat.Set(seats.Busy) {
+	if !seat.Set(seats.Busy) { // it made room after its request had arrived
+		f.count(func(n *Counts) { n.Crowded++ })
+		lim.Linger /= evictedPart
+		f.write(c, response(http.StatusServiceUnavailable, lim.RecordBack))
+		linger(c, lim)
 		return
 	}
 	f.count(func(n *Counts) { n.Read++ })
