Count no belief for a hold that was over when it was told

Cause, by reading, of TestFleetOfProcesses failing once (n0, stopped for 6 s, "believes" until 4.9 s after n1 began): a process that stood still between its question and the answer tells "holds" with an end that has passed, and Claim.Holds says no.

Change: a hold whose end has passed as it is told is no span. One that ends after the next one began is found as before; both are in the test.

--- a/internal/fleetrig/events.go
+++ b/internal/fleetrig/events.go
@@ -73,12 +73,15 @@
 		at, known := open[key]
 		switch e.What {
 		case "holds":
+			if e.Until <= e.At {
+				continue // the answer came after its own end: nothing is believed
+			}
 			if known && list[at].Token == e.N && list[at].To >= e.At {
 				list[at].To = max(list[at].To, e.Until)
 				continue
 			}
 			open[key] = len(list)
-			list = append(list, span{e.Node, e.Duty, e.N, e.At, max(e.At, e.Until)})
+			list = append(list, span{e.Node, e.Duty, e.N, e.At, e.Until})
 		case "gives":
 			if known && list[at].Token == e.N {
 				list[at].To = min(list[at].To, e.At)
--- a/internal/fleetrig/events_test.go
+++ b/internal/fleetrig/events_test.go
@@ -32,6 +32,8 @@
 		{"a renewal too far", []told{holds(0, 10, 50, 1), holds(0, 40, 80, 1), holds(1, 70, 90, 2)}, 0, "n0 believes"},
 		{"two at once, by a wrong clock", []told{holds(0, 10, 50, 1), holds(1, 40, 90, 2)}, 10, ""},
 		{"two at once for too long, by a wrong clock", []told{holds(0, 10, 51, 1), holds(1, 40, 90, 2)}, 10, "n0 believes"},
+		{"told of after its end, by a process that stood still before it had the answer", []told{holds(0, 10, 50, 1), holds(1, 60, 90, 2), holds(0, 70, 55, 1)}, 0, ""},
+		{"told of after its end, which was past the next one's beginning", []told{holds(0, 10, 50, 1), holds(1, 52, 90, 2), holds(0, 54, 56, 1)}, 0, "n0 believes"},
 		{"an earlier token later", []told{holds(1, 10, 50, 2), holds(0, 60, 90, 1)}, 0, "n0 believes"},
 		{"applied in order", []told{applied(0, 1, 3), applied(1, 2, 2), applied(0, 3, 7)}, 0, ""},
 		{"applied twice", []told{applied(0, 1, 7), applied(0, 3, 7)}, 0, "n0 applied version 7 after version 7"},
