Print what the processes told where too many nodes went out

Change: where a drain breaks a budget the report has what the processes told, with the faults between.

--- a/internal/fleetrig/drains.go
+++ b/internal/fleetrig/drains.go
@@ -276,7 +276,13 @@
 	d.mu.Lock()
 	d.report.Drains.Met = met(all, d.calls)
 	d.mu.Unlock()
-	d.report.Wrong = append(d.report.Wrong, checkDrains(all, d.halts, &d.report.Drains)...)
+	wrong := checkDrains(all, d.halts, &d.report.Drains)
+	if len(wrong) > 0 {
+		d.mu.Lock()
+		wrong = append(wrong, "what the processes told of it:\n"+timeline(all, d.calls))
+		d.mu.Unlock()
+	}
+	d.report.Wrong = append(d.report.Wrong, wrong...)
 }
 
 // checkDrains holds what the processes told to what was promised: at no instant are more out by choice than the budgets let, from when a node
