--- a/cmd/sloehitch/soak_test.go
+++ b/cmd/sloehitch/soak_test.go
@@ -36,6 +36,25 @@
 	}
 }
 
+// TestSoakWithFailingCalls plays a crowd of 60 clients while a fiftieth of the program's system calls on sockets fail. Its program runs under a
+// tracer, one thread that stops it at each call; in the crowd that thread is busy for 87 to 93% of its core. Requests with little time left
+// are read up to 0.28 s late, and those that wait when the process is killed count as lost. Without the tracer none are; with the tracer and no
+// failing call none are while the machine has nothing else to do, some 350 beside three other plays.
+func TestSoakWithFailingCalls(t *testing.T) {
+	program, tracer := built(t), filepath.Join(t.TempDir(), "sloehitch-lab")
+	if out, err := exec.Command("go", "build", "-o", tracer, "../sloehitch-lab").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, seed := range []uint64{2108} {
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
+			playSoakOn(t, func(args ...string) *exec.Cmd {
+				faulty := []string{"faulty", "--seed", fmt.Sprint(seed), "--rate", "0.02", program}
+				return exec.Command(tracer, append(faulty, args...)...)
+			}, seed, 8*time.Second)
+		})
+	}
+}
+
 // TestSoak plays real processes under all faults by seed, and judges them by the records of what they talk to. sloehitch-lab soak plays more.
 func TestSoak(t *testing.T) {
 	program := built(t)
@@ -50,13 +69,19 @@
 	}
 }
 
-// playSoak plays one seed, under the given kinds of trouble or all.
+// playSoak plays one seed of a program, under the given kinds of trouble or all.
 func playSoak(t *testing.T, program string, seed uint64, length time.Duration, kinds ...soak.FaultKind) {
+	t.Helper()
+	playSoakOn(t, func(args ...string) *exec.Cmd { return exec.Command(program, args...) }, seed, length, kinds...)
+}
+
+// playSoakOn is playSoak of a program that is run with given arguments.
+func playSoakOn(t *testing.T, run func(args ...string) *exec.Cmd, seed uint64, length time.Duration, kinds ...soak.FaultKind) {
 	t.Helper()
 	dir := t.TempDir()
 	table := soak.NewTable()
 	seeds := soak.Seeds{First: seed, Last: seed, Length: length, Kinds: kinds, Dir: dir, Command: func(config string) *exec.Cmd {
-		command := exec.Command(program, "serve", "--config", config, "--deploy", filepath.Join(dir, "none.toml"))
+		command := run("serve", "--config", config, "--deploy", filepath.Join(dir, "none.toml"))
 		command.Env = os.Environ()
 		return command
 	}}
