Close the listener only once its queue is seen to be empty

Change: as that time is over, the queue is looked at (linger.Waiting). Where connections wait they are taken, whenever the process has its turn; where none does, and none came in the time before, the queue is shut by the next system call, then the listener is closed.

--- a/internal/linger/linger.go
+++ b/internal/linger/linger.go
@@ -121,3 +121,28 @@
 	}
 	return n, nil
 }
+
+// Waiting says whether connections wait in a listener's queue to be accepted. Where none does and end is set, the queue is shut by the very next
+// system call: a connection that comes in between would be reset. It is false for a listener that is closed or has no descriptor of its own.
+func Waiting(ln net.Listener, end bool) (waiting bool) {
+	raw, ok := ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = control.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(state, 0)
+		for tries := 0; sockerr.Passing(err) && tries < passingMost; tries++ {
+			n, err = unix.Poll(state, 0)
+		}
+		waiting = err == nil && n > 0 && state[0].Revents&unix.POLLIN != 0
+		if err == nil && !waiting && end {
+			_ = unix.Shutdown(int(fd), unix.SHUT_RDWR) // it fails only where the listener is closed
+		}
+	})
+	return waiting && err == nil
+}
--- a/internal/resp/listener.go
+++ b/internal/resp/listener.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"sloehitch/internal/linger"
 	"sloehitch/internal/sockerr"
 )
 
@@ -44,14 +45,28 @@
 	return l.Listener.Close()
 }
 
-// lookAgain says whether a listener that is to close is to be looked at once more as its time is over: something came
-// since it was last granted, or it had no turn.
-func (l *Listener) lookAgain() bool {
-	if l.quiet {
-		return false
+// closeOnceEmpty takes the end of the time for the last look at a listener that is to close. That the time is over does not say that there was a
+// look: the process may have stood still. It closes the listener once nothing waits in its queue, and nothing came in the time before;
+// otherwise it grants another look.
+func (l *Listener) closeOnceEmpty() {
+	d := l.Listener.(interface{ SetDeadline(time.Time) error })
+	switch {
+	case linger.Waiting(l.Listener, l.quiet):
+		l.quiet = false
+		_ = d.SetDeadline(time.Time{}) // the next Accept takes what waits, whenever it has its turn
+	case !l.quiet && d.SetDeadline(time.Now().Add(lastLook)) == nil:
+		l.quiet = true
+	default:
+		l.Listener.Close()
+	}
+}
+
+// grantLook notes that something came. A listener that is to close is granted the time for another connection.
+func (l *Listener) grantLook() {
+	l.quiet = false
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.closing.Load() && !l.shared {
+		_ = d.SetDeadline(time.Now().Add(lastLook)) // it fails only where the listener is closed
 	}
-	l.quiet = true
-	return l.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Now().Add(lastLook)) == nil
 }
 
 // Accept waits for the next connection. Once the listener is closed it blocks until the front is.
@@ -60,9 +75,7 @@
 		c, err := l.Listener.Accept()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded) && l.closing.Load():
-			if !l.lookAgain() {
-				l.Listener.Close()
-			}
+			l.closeOnceEmpty()
 		case errors.Is(err, net.ErrClosed):
 			if l.closing.Load() {
 				l.f.closing.Add(-1)
@@ -72,11 +85,12 @@
 			return nil, err
 		case err != nil:
 			l.f.log.Warn("accept failed", err)
+			l.grantLook()
 			if sockerr.Short(err) { // else it was that one connection's trouble, and others wait
 				time.Sleep(acceptRest)
 			}
 		default:
-			l.quiet = false
+			l.grantLook()
 			lim := l.f.opts.Limits
 			g := &guarded{Conn: c, frames: frames{mostParts: lim.FrameParts, mostBulk: lim.Frame, mostFrame: lim.Frame},
 				limit: lim.Message, since: time.Now(), spare: lim.OpenPerConn * lim.Frame}
