Have a connection make room only once it is on the list of those that end

Cause: read on a look at the change: one that ended at once was taken off the list before it was on it, and stayed there until the list was full. Nothing followed from it, since it counts as ended.

Change: the list first, then the end.

--- a/internal/resp/conn.go
+++ b/internal/resp/conn.go
@@ -39,7 +39,7 @@
 	var err error
 	for err == nil {
 		if err = k.message(cmd.Args); errors.Is(err, errUnseated) {
-			k.net.stop() // what arrived behind it was written before this end as well: it is read and answered too
+			k.net.stop() // what arrived behind it is owed an answer as well
 			err = nil
 		}
 		if err == nil {
--- a/internal/resp/evict.go
+++ b/internal/resp/evict.go
@@ -18,12 +18,13 @@
 	list []*guarded // the longest first
 }
 
-// add takes a connection that has to make room, and waits until there are not too many. The process may have stood still, so what has arrived on
+// add has a connection end that has to make room, and waits until there are not too many. The process may have stood still, so what has arrived on
 // them is answered before any is closed, whatever the time; time in which the process stands still counts as one look.
 func (e *evictions) add(g *guarded, patience time.Duration) {
 	e.mu.Lock()
 	e.list = append(e.list, g)
 	e.mu.Unlock()
+	g.stop() // it may be over, and removed, from here on
 	for looks := int(patience / evictLook); e.trim() && looks > 0; looks-- {
 		time.Sleep(evictLook)
 	}
@@ -63,6 +64,5 @@
 // the other side, or less where many do. It blocks while too many connections are being ended.
 func (f *Front) evict(g *guarded) {
 	f.opts.Log.Debug("a connection makes room for another", "peer", g.RemoteAddr())
-	g.stop()
 	f.evicted.add(g, f.opts.Limits.Linger)
 }
