--- a/cmd/sloehitch/soak_test.go
+++ b/cmd/sloehitch/soak_test.go
@@ -21,7 +21,7 @@
 
 // TestSoakOfSeed117 plays the seed in which a request on a connection that made room, in a crowd just after a pause of 0.47 s, got no
 // answer, once in one play.
-func TestSoakOfSeed117(t *testing.T) { playSoak(t, built(t), 117, 12*time.Second) }
+func TestSoakOfSeed117(t *testing.T) { playSoak(t, 117, 117, 12*time.Second) }
 
 // TestSoakOfPausesInACrowd plays seeds with no trouble but pauses, in which requests were lost on connections that made room. In a crowd each
 // newcomer takes the place of a connection that rests. While the process stands still requests arrive on many of those; as it goes on they
@@ -32,7 +32,7 @@
 func TestSoakOfPausesInACrowd(t *testing.T) {
 	program := built(t)
 	for _, seed := range []uint64{1030, 1043} {
-		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { playSoak(t, program, seed, 8*time.Second, soak.Pause) })
+		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) { playSeed(t, program, seed, 8*time.Second, soak.Pause) })
 	}
 }
 
@@ -47,7 +47,7 @@
 	}
 	for _, seed := range []uint64{2108} {
 		t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
-			playSoakOn(t, func(args ...string) *exec.Cmd {
+			playSeedOn(t, func(args ...string) *exec.Cmd {
 				faulty := []string{"faulty", "--seed", fmt.Sprint(seed), "--rate", "0.02", program}
 				return exec.Command(tracer, append(faulty, args...)...)
 			}, seed, 8*time.Second)
@@ -64,19 +64,28 @@
 			t.Parallel()
 			beside <- struct{}{}
 			defer func() { <-beside }()
-			playSoak(t, program, seed, *soakLength)
+			playSeed(t, program, seed, *soakLength)
 		})
 	}
 }
 
-// playSoak plays one seed of a program, under the given kinds of trouble or all.
-func playSoak(t *testing.T, program string, seed uint64, length time.Duration, kinds ...soak.FaultKind) {
+// playSoak plays the seeds from the first to the last, one after the other, under all kinds of trouble.
+func playSoak(t *testing.T, first, last uint64, length time.Duration) {
 	t.Helper()
-	playSoakOn(t, func(args ...string) *exec.Cmd { return exec.Command(program, args...) }, seed, length, kinds...)
+	program := built(t)
+	for seed := first; seed <= last; seed++ {
+		playSeed(t, program, seed, length)
+	}
+}
+
+// playSeed plays one seed of a program, under the given kinds of trouble or all.
+func playSeed(t *testing.T, program string, seed uint64, length time.Duration, kinds ...soak.FaultKind) {
+	t.Helper()
+	playSeedOn(t, func(args ...string) *exec.Cmd { return exec.Command(program, args...) }, seed, length, kinds...)
 }
 
-// playSoakOn is playSoak of a program that is run with given arguments.
-func playSoakOn(t *testing.T, run func(args ...string) *exec.Cmd, seed uint64, length time.Duration, kinds ...soak.FaultKind) {
+// playSeedOn is playSeed of a program that is run with given arguments.
+func playSeedOn(t *testing.T, run func(args ...string) *exec.Cmd, seed uint64, length time.Duration, kinds ...soak.FaultKind) {
 	t.Helper()
 	dir := t.TempDir()
 	table := soak.NewTable()
