--- a/review/2/main.go
+++ b/review/2/main.go
@@ -90,6 +90,7 @@
 	if !ready {
 		panic("the node does not serve: " + node.LogText())
 	}
+	time.Sleep(2 * time.Second) // a new configuration never comes in the first second of service
 	if c.Trouble {
 		reload(c, node, listen)
 	}
