Log where the store keeps acknowledged changes

Cause: a store that writes to its folder and one that ignores it logged the same lines ("serving", "value set"), so a lost change could not be told from one that was written and not read, or read and overridden.

Change: "store opened" says whether changes are durable, the folder, the number of members, and what was found.

--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"sloehitch/internal/control/lease"
+	"sloehitch/internal/platform/config"
 	"sloehitch/internal/store"
 )
 
@@ -23,6 +24,7 @@
 	if err != nil {
 		return err
 	}
+	d.logStore(settings)
 	d.store.Watch(d.applyStoredValue)
 	if settings.Admin == "" {
 		return nil
@@ -36,6 +38,17 @@
 	})
 }
 
+// logStore logs where the store keeps acknowledged changes, and what it holds after the start. Without an address for operators or
+// members nothing can change the store, and nothing is logged.
+func (d *Daemon) logStore(settings config.Store) {
+	if settings.Admin == "" && len(settings.Members) == 0 {
+		return
+	}
+	_, status, _ := d.store.Documents("", false) // a local read returns no error
+	d.log.Info("store opened", "durable", d.store.Durable(), "folder", settings.Dir, "members", len(settings.Members),
+		"values", len(d.store.All()), "revision", status.Revision)
+}
+
 // applyStoredValue applies a change of the operators' state to this node.
 func (d *Daemon) applyStoredValue(key, value string) {
 	switch key {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -147,6 +147,9 @@
 // unwrappedFS is the default of Options.WrapFS. It returns fs itself.
 func unwrappedFS(fs disk.FS) disk.FS { return fs }
 
+// Durable reports whether acknowledged changes are written to a data directory.
+func (s *Store) Durable() bool { return s.storage.log != nil }
+
 // raftNode returns this member's raft node, or an error that wraps ErrNotLeader if the member does not participate, or
 // not yet.
 func (s *Store) raftNode() (*raft.Raft, error) {
