Write the changes of a store without members to its folder

What callers saw: with `[store]` `admin` and `dir` and no members, `state set` and `fleet put` were acknowledged and gone after a restart; 10 of 10 bookings went to a uwsgi server that operators had taken off the list. A process that replaced another one never had the state.

Cause: store.Open returned before the data directory was opened where the settings list no members; changes were applied to a map in memory and acknowledged. Only members read Options.Dir.

Evidence: with `dir` set and no members the folder was never created and the process had no file of it open, before and after the change; with a list of this one member the same steps kept it. So it was not lost in a buffer at the end (a kill loses as much), not left unread at the start, and not overridden by the file's servers (`state show` was empty). "store opened" said durable=false.

Change: such a store is run by raft with this daemon as the only member, which flushes each change before it is acknowledged. Earlier entries are replayed into a copy and take effect at once, so no outdated value is applied, before the first request is accepted. While the process that this one replaces holds the folder, the state is read from it and changes are rejected; then the folder is taken over. A folder of a store with other members is not continued alone. What can't be written is rejected.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,7 +1,7 @@
 // Package daemon runs one node: it starts the components, serves until shutdown, reloads the configuration and shuts down gracefully.
 //
 // Start opens the components in order of their dependencies: admission, the journals of keyed runs, the core (package node), the
-// fronts, the replicated store with this node's part in the fleet, and the addresses for metrics and operators. A single goroutine, the
+// store, the fronts, this node's part in the fleet, and the addresses for metrics and operators. A single goroutine, the
 // one that calls Run, reloads, sweeps and shuts down. All other goroutines report fatal failures to Daemon.failed.
 //
 // There is one file per concern: config.go (files), start.go (start order), service.go (whether the node accepts callers), upstreams.go
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -34,13 +34,16 @@
 	if err := d.startCore(); err != nil {
 		return nil, err
 	}
+	if err := d.openStore(c); err != nil {
+		return nil, err
+	}
 	if err := d.startResp(); err != nil {
 		return nil, err
 	}
 	if err := d.startUwsgi(c); err != nil {
 		return nil, err
 	}
-	if err := errors.Join(d.startStore(c), d.startFleet(c)); err != nil {
+	if err := errors.Join(d.startStore(c.Deploy.Store), d.startFleet(c)); err != nil {
 		return nil, err
 	}
 	if err := d.startMetrics(); err != nil {
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -11,20 +11,27 @@
 	"sloehitch/internal/store"
 )
 
-// startStore opens this node's copy of the replicated store, watches it for changes and serves the operators' address.
-func (d *Daemon) startStore(c *Config) error {
+// openStore opens this node's copy of the store. Operators' state that is on this node's disk is in force before the first request
+// is accepted; the changes of other members are applied once they arrive.
+func (d *Daemon) openStore(c *Config) error {
 	settings := c.Deploy.Store
 	duration, err := settings.Lease()
 	if err != nil {
 		return err
 	}
 	d.store, err = store.Open(store.Options{Name: d.platform.Name, Members: settings.Members, Dir: settings.Dir, CommitTimeout: d.limits.CommitTimeout,
-		ElectionTimeout: d.limits.ElectionTimeout, Logger: d.log, LeaseTerms: store.DefaultLeaseTerms.WithDuration(duration), Join: settings.Join,
+		ElectionTimeout: d.limits.ElectionTimeout, AwaitDir: listenerInherited(), Logger: d.log, LeaseTerms: store.DefaultLeaseTerms.WithDuration(duration), Join: settings.Join,
 		Clock: d.faultHooks.Clock(lease.Now), WrapFS: d.faultHooks.Disk, OnEvent: d.faultHooks.Record})
 	if err != nil {
 		return err
 	}
 	d.logStore(settings)
+	d.applyStoredValue(store.KeyClosedNodes, d.store.Get(store.KeyClosedNodes))
+	return nil
+}
+
+// startStore watches the store for changes and serves the operators' address.
+func (d *Daemon) startStore(settings config.Store) error {
 	d.store.Watch(d.applyStoredValue)
 	if settings.Admin == "" {
 		return nil
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -69,14 +69,26 @@
 	rules.MaxConcurrency = u.MaxPerServer
 	d.upstreams.pool = uwsgi.NewPool(uwsgi.PoolOptions{Balancer: rules, Seed: seedNumber(c.Platform.Seed), Keys: keys, ServerName: u.ServersTLS.Name,
 		OnRunDone: d.observeRun, Limits: d.limits, Log: d.log})
-	d.upstreams.listed = slices.Clone(u.Servers)
-	if err := d.upstreams.pool.SetServers(u.Servers); err != nil {
+	if err := d.setFirstUpstreams(u.Servers); err != nil {
 		return err
 	}
 	d.upstreams.pool.Serve(d.node)
 	return nil
 }
 
+// setFirstUpstreams sets the pool's servers to those in the operators' state or, if there are none or they are invalid, to the
+// configured ones.
+func (d *Daemon) setFirstUpstreams(configured []string) error {
+	if named := d.store.Get(store.KeyUwsgiServers); named != "" {
+		d.setUpstreams(named)
+	}
+	if len(d.upstreams.pool.Servers()) > 0 {
+		return nil
+	}
+	d.upstreams.listed = slices.Clone(configured)
+	return d.upstreams.pool.SetServers(configured)
+}
+
 // loadKeys loads the TLS keys of one end; nil if no files are configured.
 func (d *Daemon) loadKeys(t config.TLS) (*tlskeys.Keys, error) {
 	if t.Files() == (tlskeys.Files{}) {
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -55,7 +55,7 @@
 	case errors.Is(err, ErrNotLeader) && elsewhere:
 		http.Redirect(w, r, "http://"+leader+r.URL.Path, http.StatusTemporaryRedirect)
 	case errors.Is(err, ErrNotLeader):
-		unavailable(w, "no leader is known")
+		unavailable(w, "no leader is known: "+err.Error())
 	default:
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
--- a/internal/store/backup.go
+++ b/internal/store/backup.go
@@ -106,12 +106,10 @@
 
 func (s *Store) replicatePart(part restorePart) (revision uint64, err error) {
 	var response any
-	if s.clustered {
-		if response, err = s.replicate(change{Restore: &part}); err != nil {
-			return 0, err
-		}
-	} else {
+	if s.memoryOnly {
 		response = s.applyRestorePart(part)
+	} else if response, err = s.replicate(change{Restore: &part}); err != nil {
+		return 0, err
 	}
 	result, ok := response.(restoreResult)
 	if !ok {
--- a/internal/store/documents.go
+++ b/internal/store/documents.go
@@ -39,7 +39,7 @@
 	status := ReadStatus{
 		Revision:     s.documents.Revision(),
 		HistoryStart: s.documents.HistoryStart(),
-		Confirmed:    confirmed || !s.clustered,
+		Confirmed:    confirmed || s.memoryOnly,
 	}
 	if !status.Confirmed {
 		status.AgeMS = s.ageMS()
--- a/internal/store/identity.go
+++ b/internal/store/identity.go
@@ -21,7 +21,7 @@
 // Identity returns this member's answer to another member, requester, that asks for its identity. The requester passes
 // it to quorum.DecideRejoin.
 func (s *Store) Identity(requester string) quorum.PeerAnswer {
-	if !s.clustered {
+	if s.memoryOnly || s.standalone() && s.raft.Load() == nil {
 		return quorum.PeerAnswer{From: s.opts.Name}
 	}
 	a := quorum.PeerAnswer{From: s.opts.Name, StoreID: s.peers.localIdentity().StoreID, IsMember: true, Progress: s.peers.peer(requester).progress}
--- a/internal/store/leadership.go
+++ b/internal/store/leadership.go
@@ -18,7 +18,7 @@
 
 // Leader returns the leader, which accepts changes, if it is known. It does not wait.
 func (s *Store) Leader() (Member, bool) {
-	if !s.clustered {
+	if s.memoryOnly {
 		return Member{Name: s.opts.Name}, true
 	}
 	r := s.raft.Load()
--- a/internal/store/leases.go
+++ b/internal/store/leases.go
@@ -74,7 +74,7 @@
 func (s *Store) decideLease(task string, q LeaseRequest) (lease.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clustered && !s.leading {
+	if !s.memoryOnly && !s.leading {
 		return lease.Record{}, ErrNotLeader
 	}
 	table := s.documents.Leases()
--- a/internal/store/memberchange.go
+++ b/internal/store/memberchange.go
@@ -46,8 +46,8 @@
 // (quorum.Group) or not possible, and ErrOutcomeUnknown if the change may still take effect. Repeating a change has no
 // further effect.
 func (s *Store) ChangeMembers(c MembershipChange) error {
-	if !s.clustered {
-		return fmt.Errorf("%w: the store is local to this process: its settings list no members", ErrChangeRejected)
+	if len(s.opts.Members) == 0 {
+		return fmt.Errorf("%w: the store is this daemon's own: its settings list no members", ErrChangeRejected)
 	}
 	r, err := s.raftNode()
 	if err != nil {
--- a/internal/store/members.go
+++ b/internal/store/members.go
@@ -41,12 +41,14 @@
 // Members returns the membership as this member sees it. It does not wait.
 func (s *Store) Members() Membership {
 	m := Membership{ReportedBy: s.opts.Name}
-	if !s.clustered {
+	if s.memoryOnly {
 		m.Leader = m.ReportedBy
 		return m
 	}
-	m.StoreID = s.peers.localIdentity().StoreID
 	r := s.raft.Load()
+	if r != nil || !s.standalone() {
+		m.StoreID = s.peers.localIdentity().StoreID
+	}
 	if r == nil {
 		s.mu.Lock()
 		m.ExclusionReason = s.exclusionReason
@@ -74,6 +76,9 @@
 	if m, listed := s.configuredMember(name); listed {
 		return m, true
 	}
+	if s.standalone() && name == s.opts.Name {
+		return Member{Name: name, RaftAddress: standaloneAddress}, true
+	}
 	s.mu.Lock()
 	d := s.documents.Get(memberPrefix + name)
 	s.mu.Unlock()
--- a/internal/store/membershipwatch.go
+++ b/internal/store/membershipwatch.go
@@ -26,7 +26,7 @@
 		if err := s.peers.save(); err != nil {
 			s.opts.Logger.Warn("progress of the other members not stored", "error", err)
 		}
-		if _, leader := r.LeaderWithID(); leader != "" || len(s.opts.Members) == 1 {
+		if _, leader := r.LeaderWithID(); leader != "" || len(s.opts.Members) <= 1 {
 			continue
 		}
 		if s.excludedByPeers(r) {
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -48,7 +48,7 @@
 		return document.Result{}, err
 	}
 	t.UnixMillis = time.Now().UnixMilli()
-	if !s.clustered {
+	if s.memoryOnly {
 		return s.applyTransaction(t), nil
 	}
 	response, err := s.replicate(change{Transaction: &t})
@@ -100,7 +100,7 @@
 // Barrier blocks until this member's copy contains all changes acknowledged before the call: a majority has confirmed
 // the member as the leader, and it has applied all committed entries. It returns ErrNotLeader on any other member.
 func (s *Store) Barrier() error {
-	if !s.clustered {
+	if s.memoryOnly {
 		return nil
 	}
 	r, err := s.raftNode()
--- a/internal/store/raftlog/raftlog.go
+++ b/internal/store/raftlog/raftlog.go
@@ -67,15 +67,30 @@
 
 // Open opens a data directory. It returns an error of the ledger, or ErrMissingEntries.
 func Open(fs disk.FS, lim limits.RaftLog, o ledger.Options) (*Log, error) {
-	s, err := ledger.Open(fs, o)
+	l, err := openLog(fs, lim, o)
 	if err != nil {
 		return nil, err
 	}
-	l := &Log{ledger: s, limits: lim, openSnapshots: map[string]bool{}, stopping: make(chan struct{})}
-	if err = l.loadIndexes(); err == nil {
-		err = l.removeStaleSnapshots()
+	if err := l.removeStaleSnapshots(); err != nil {
+		return nil, errors.Join(err, l.Close())
 	}
+	return l, nil
+}
+
+// OpenReadOnly opens a data directory for reading, as it is now. Another process may have it open for writing. It returns the
+// errors of Open, and all changes return ledger.ErrReadOnly.
+func OpenReadOnly(fs disk.FS, lim limits.RaftLog, o ledger.Options) (*Log, error) {
+	o.ReadOnly = true
+	return openLog(fs, lim, o)
+}
+
+func openLog(fs disk.FS, lim limits.RaftLog, o ledger.Options) (*Log, error) {
+	s, err := ledger.Open(fs, o)
 	if err != nil {
+		return nil, err
+	}
+	l := &Log{ledger: s, limits: lim, openSnapshots: map[string]bool{}, stopping: make(chan struct{})}
+	if err := l.loadIndexes(); err != nil {
 		return nil, errors.Join(err, s.Close())
 	}
 	return l, nil
--- a/internal/store/raftstorage.go
+++ b/internal/store/raftstorage.go
@@ -55,12 +55,30 @@
 	if err := os.MkdirAll(logPath, 0o700); err != nil {
 		return raftStorage{}, err
 	}
-	l, err := raftlog.Open(wrap(disk.Dir(logPath)), limits.ForRaftLog, ledger.Options{Limits: limits.ForRaftLog.Ledger(), Log: log})
+	l, err := raftlog.Open(wrap(disk.Dir(logPath)), limits.ForRaftLog, ledgerOptions(log))
 	if err != nil {
 		return raftStorage{}, err
 	}
-	// There is no cache of entries: they may be large, and the operating system caches files.
-	return raftStorage{log: l, logs: l, stable: l, snapshots: l.Snapshots()}, nil
+	return storageOn(l), nil
+}
+
+// openRaftStorageReadOnly opens a data directory that another process may hold, without changing it.
+func openRaftStorageReadOnly(dir string, log *slog.Logger) (raftStorage, error) {
+	l, err := raftlog.OpenReadOnly(disk.Dir(filepath.Join(dir, logDir)), limits.ForRaftLog, ledgerOptions(log))
+	if err != nil {
+		return raftStorage{}, err
+	}
+	return storageOn(l), nil
+}
+
+func ledgerOptions(log *slog.Logger) ledger.Options {
+	return ledger.Options{Limits: limits.ForRaftLog.Ledger(), Log: log}
+}
+
+// storageOn returns a storage that reads and writes a log directly. There is no cache of entries: they may be large, and
+// the operating system caches files.
+func storageOn(l *raftlog.Log) raftStorage {
+	return raftStorage{log: l, logs: l, stable: l, snapshots: l.Snapshots()}
 }
 
 // ledger returns the ledger of the data directory, or nil if the state is kept in memory.
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -13,7 +13,6 @@
 
 	"github.com/hashicorp/raft"
 
-	"sloehitch/internal/control/lease"
 	"sloehitch/internal/ledger"
 	"sloehitch/internal/platform/limits"
 	"sloehitch/internal/store/document"
@@ -81,14 +80,8 @@
 
 // recoverState writes a snapshot of the state with a single member and a new store id.
 func (s raftStorage) recoverState(self Member, storeID string, log *slog.Logger) error {
-	recovered := &Store{
-		opts:             Options{Name: self.Name, LeaseTerms: DefaultLeaseTerms, Logger: log},
-		values:           map[string]string{},
-		clock:            lease.Now,
-		documentsChanged: make(chan struct{}),
-	}
-	var err error
-	if recovered.documents, err = document.New(document.DefaultLimits, DefaultLeaseTerms); err != nil {
+	recovered, err := newStore(Options{Name: self.Name, Logger: log}.withDefaults())
+	if err != nil {
 		return err
 	}
 	cfg := raftConfig(self.Name, log)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
 // Package store keeps the daemon's changeable configuration and the operators' state, replicated to all members that a
-// deployment names. Without members it is a map in memory. Reads are local and never wait. No request depends on a
-// write to the store.
+// deployment names. Without members the store is this daemon's own: durable in its data directory or, if there is none,
+// in memory only. Reads are local and never wait. No request depends on a write to the store.
 //
 // The parts:
 //
@@ -9,6 +9,7 @@
 //   - leadership.go: what a member does when it becomes the leader, and the transfer of the leadership.
 //   - raftstorage.go, peertracker.go: a member's persistent state; transport.go, streamlayer.go: its connections to the
 //     others.
+//   - standalone.go, replay.go: a store without members on a data directory.
 //   - start.go, identity.go: how a member asks the others whether it may participate; membershipwatch.go: how it detects
 //     that it was removed.
 //   - members.go, memberchange.go: the members, and changes of them while the store runs.
@@ -63,8 +64,9 @@
 // Options configure a member of the store.
 type Options struct {
 	Name            string
-	Members         []Member // all members, this one included; none: the store is local to this process
+	Members         []Member // all members, this one included; none: this daemon alone
 	Dir             string   // the data directory; empty: everything is kept in memory
+	AwaitDir        bool     // without members: the process that this one replaces may hold the data directory until it ends
 	Join            bool     // with an empty data directory: wait to be added to an existing store instead of bootstrapping one
 	Logger          *slog.Logger
 	CommitTimeout   time.Duration // timeout for committing one change
@@ -79,12 +81,13 @@
 
 // Store is this member's copy of the store. It is safe for concurrent use.
 type Store struct {
-	opts      Options
-	clustered bool // there are members; otherwise the store is local to this process
-	clock     lease.Clock
+	opts       Options
+	memoryOnly bool // there are neither members nor a data directory: changes are applied to this copy only, without raft
+	clock      lease.Clock
 
+	// In a standalone store, storage and peers are set in the background, before raft: others use them only after it.
 	storage   raftStorage
-	transport *transport
+	transport *transport                // nil in a standalone store
 	raft      atomic.Pointer[raft.Raft] // nil while this member does not participate
 	peers     *peerTracker
 
@@ -107,31 +110,44 @@
 // Open returns this member's copy of the store. It may return before the member participates; Members reports whether
 // it does. It returns an error if the options, the data directory or the address for the other members can't be used.
 func Open(o Options) (*Store, error) {
-	s := &Store{
-		opts:             o.withDefaults(),
-		values:           map[string]string{},
-		clock:            o.Clock,
-		done:             make(chan struct{}),
-		documentsChanged: make(chan struct{}),
-	}
-	if o.Clock == nil {
-		s.clock = lease.Now
-	}
-	var err error
-	if s.documents, err = document.New(document.DefaultLimits, s.opts.LeaseTerms); err != nil {
+	s, err := newStore(o.withDefaults())
+	if err != nil {
 		return nil, err
 	}
-	if len(o.Members) == 0 {
-		return s, nil
+	switch {
+	case len(o.Members) > 0:
+		err = s.openMember()
+	case o.Dir != "":
+		err = s.openStandalone()
+	default:
+		s.memoryOnly = true
 	}
-	s.clustered = true
-	if err := s.openMember(); err != nil {
+	if err != nil {
 		return nil, errors.Join(fmt.Errorf("store: %w", err), s.Close())
 	}
 	return s, nil
 }
 
+// newStore returns an empty copy that neither reads a data directory nor participates.
+func newStore(o Options) (*Store, error) {
+	documents, err := document.New(document.DefaultLimits, o.LeaseTerms)
+	if err != nil {
+		return nil, err
+	}
+	return &Store{
+		opts:             o,
+		values:           map[string]string{},
+		clock:            o.Clock,
+		documents:        documents,
+		done:             make(chan struct{}),
+		documentsChanged: make(chan struct{}),
+	}, nil
+}
+
 func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = lease.Now
+	}
 	if o.WrapFS == nil {
 		o.WrapFS = unwrappedFS
 	}
@@ -147,8 +163,11 @@
 // unwrappedFS is the default of Options.WrapFS. It returns fs itself.
 func unwrappedFS(fs disk.FS) disk.FS { return fs }
 
-// Durable reports whether acknowledged changes are written to a data directory.
-func (s *Store) Durable() bool { return s.storage.log != nil }
+// Durable reports whether changes are written to a data directory before they are acknowledged.
+func (s *Store) Durable() bool { return s.opts.Dir != "" }
+
+// standalone reports whether the store has a data directory and no members.
+func (s *Store) standalone() bool { return len(s.opts.Members) == 0 && !s.memoryOnly }
 
 // raftNode returns this member's raft node, or an error that wraps ErrNotLeader if the member does not participate, or
 // not yet.
--- a/internal/store/values.go
+++ b/internal/store/values.go
@@ -81,7 +81,7 @@
 	if err := validateValue(key, value); err != nil {
 		return err
 	}
-	if !s.clustered {
+	if s.memoryOnly {
 		s.applyValue(key, value)
 		return nil
 	}
