Warn that a reload applies neither [store] nor [fleet]

What operators saw: SIGHUP after `dir` was added to `[store]` logged "configuration applied", and the changes acknowledged after it were in memory only and gone at the restart.

Only [ledger] was compared.

Evidence: TestReloadReportsUnappliedStore fails before: no warning for a new folder of the store, new members, or a new folder of the fleet.

Change: a warning for each of the two sections, that of [store] with the folder in use.

--- a/internal/daemon/journal_test.go
+++ b/internal/daemon/journal_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/platform/limits"
+	"sloehitch/internal/store"
 	"sloehitch/internal/testing/standin"
 	"strings"
 	"testing"
@@ -33,6 +34,39 @@
 	}
 }
 
+// TestReloadReportsUnappliedStore guards against operators who believe that changes are durable because SIGHUP accepted a file with a
+// folder for the store or for the fleet: a reload applies neither section, and must say so.
+func TestReloadReportsUnappliedStore(t *testing.T) {
+	for _, c := range []struct {
+		section string
+		change  func(*config.Deploy, string)
+	}{
+		{"[store]", func(d *config.Deploy, dir string) { d.Store.Dir = dir }},
+		{"[store]", func(d *config.Deploy, _ string) {
+			d.Store.Members = []store.Member{{Name: "n1", RaftAddress: "127.0.0.1:1"}}
+		}},
+		{"[fleet]", func(d *config.Deploy, dir string) { d.Fleet.Dir = dir }},
+	} {
+		rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+		s := serveNode(t, longDeadline, rt)
+		s.stop <- os.Interrupt // ends Run, so that only this test reloads
+		<-s.stopped
+		var log bytes.Buffer
+		s.log = slog.New(slog.NewTextHandler(&log, nil))
+		next := &config.Deploy{}
+		dir := filepath.Join(t.TempDir(), "new")
+		c.change(next, dir)
+		s.load = func() (*Config, error) { return &Config{Platform: s.platform, Deploy: next}, nil }
+		s.reload()
+		if !strings.Contains(log.String(), "level=WARN msg=\"changes in section "+c.section) {
+			t.Errorf("%s: no warning; log: %s", c.section, log.String())
+		}
+		if _, err := os.Stat(dir); err == nil {
+			t.Errorf("%s: the folder of the new configuration was created", c.section)
+		}
+	}
+}
+
 // BenchmarkBooking measures sequential bookings through the daemon on real sockets, without and with a ledger.
 func BenchmarkBooking(b *testing.B) {
 	for _, on := range []bool{false, true} {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"reflect"
 
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/platform/reconfigure"
@@ -54,9 +55,21 @@
 	if current, next := d.deploy.Load().Uwsgi, next.Deploy.Uwsgi; current.TLS != next.TLS || current.ServersTLS != next.ServersTLS {
 		d.log.Warn("changes of TLS file names are not applied until a restart; the current files are reloaded")
 	}
-	if next.Deploy.Ledger != d.deploy.Load().Ledger {
+	d.warnUnappliedSections(next.Deploy)
+}
+
+// warnUnappliedSections logs the sections of the deployment file that are only read at the start and differ in next.
+func (d *Daemon) warnUnappliedSections(next *config.Deploy) {
+	current := d.deploy.Load()
+	if next.Ledger != current.Ledger {
 		d.log.Warn("changes in section [ledger] are not applied until a restart")
 	}
+	if !reflect.DeepEqual(next.Store, current.Store) {
+		d.log.Warn("changes in section [store] are not applied until a restart", "folder_in_use", d.store.Dir())
+	}
+	if !reflect.DeepEqual(next.Fleet, current.Fleet) {
+		d.log.Warn("changes in section [fleet] are not applied until a restart")
+	}
 }
 
 // reconfigure applies the settings of p to the core, admission and the fronts if they differ from the running ones, and stores the
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -52,7 +52,7 @@
 		return
 	}
 	_, status, _ := d.store.Documents("", false) // a local read returns no error
-	d.log.Info("store opened", "durable", d.store.Durable(), "folder", settings.Dir, "members", len(settings.Members),
+	d.log.Info("store opened", "durable", d.store.Durable(), "folder", d.store.Dir(), "members", len(settings.Members),
 		"values", len(d.store.All()), "revision", status.Revision)
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -166,6 +166,9 @@
 // Durable reports whether changes are written to a data directory before they are acknowledged.
 func (s *Store) Durable() bool { return s.opts.Dir != "" }
 
+// Dir returns the data directory; empty: everything is kept in memory.
+func (s *Store) Dir() string { return s.opts.Dir }
+
 // standalone reports whether the store has a data directory and no members.
 func (s *Store) standalone() bool { return len(s.opts.Members) == 0 && !s.memoryOnly }
 
