Reject a fleet's folder and backups where no members are named

What operators saw: `[fleet]` with `dir` or `backups` and no `members` was accepted; the folder was never created, and no backup was ever taken.

Unlike a store, a node's part in a fleet is nothing without a store to reach, so the file is wrong and `check` and `serve` say so, as they do for `flush` without a ledger's folder.

Evidence: two new cases of TestParseDeploy, accepted before and rejected with this change.

--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -55,6 +55,11 @@
 		{"store members", "[store]\nadmin = \"127.0.0.1:1\"\n[[store.members]]\nname = \"n1\"\nraft = \"127.0.0.1:2\"\n", ""},
 		{"member without a name", "[[store.members]]\nraft = \"127.0.0.1:2\"\n", "name"},
 		{"admin without a port", "[store]\nadmin = \"127.0.0.1\"\n", "port"},
+		{"store of one daemon", "[store]\nadmin = \"127.0.0.1:1\"\ndir = \"d\"\n", ""},
+		{"joining without members", "[store]\ndir = \"d\"\njoin = true\n", "join"},
+		{"fleet", "[fleet]\nmembers = [\"127.0.0.1:1\"]\ndir = \"d\"\nbackups = \"b\"\n", ""},
+		{"fleet folder without members", "[fleet]\ndir = \"d\"\n", "members"}, // it would be ignored
+		{"backups without members", "[fleet]\nbackups = \"b\"\n", "members"},  // none would be taken
 		{"Unix socket and TLS servers", strings.Replace(strings.Replace(enabled, "127.0.0.1:3030", "unix:/run/s", 1), "\"127", "\"suwsgi://127", 1) + "mode = \"0600\"\nmodifiers = [0, 5]\nhalf_close = \"leaves\"\n", ""},
 		{"invalid mode", enabled + "mode = \"rw\"\n", "octal"},
 		{"reserved modifier", enabled + "modifiers = [100]\n", "modifier 100"},
--- a/internal/platform/config/deploy.go
+++ b/internal/platform/config/deploy.go
@@ -144,7 +144,7 @@
 // Store configures the replicated store: its members, and the address at which operators reach this daemon's copy.
 type Store struct {
 	Admin         string         `toml:"admin"`   // address for operators; empty: none
-	Dir           string         `toml:"dir"`     // folder of the durable copy; empty: in memory only
+	Dir           string         `toml:"dir"`     // folder of the durable copy, with or without members; empty: in memory only
 	Members       []store.Member `toml:"members"` // none: this daemon alone
 	LeaseDuration string         `toml:"lease"`   // duration of leases on duties; default 10s. Must be the same on all members
 	Join          bool           `toml:"join"`    // with an empty dir: wait to be added to an existing store
@@ -222,6 +222,9 @@
 	if f.ReplaceExit < 0 || f.ReplaceExit > 255 {
 		return fmt.Errorf("fleet: replace_exit is %d; write 1 to 255", f.ReplaceExit)
 	}
+	if len(f.Members) == 0 && (f.Dir != "" || f.Backups != "") {
+		return errors.New("fleet: dir and backups require members, the operators' addresses of the store's members")
+	}
 	if len(f.Replace) > 0 && f.ReleaseFile == "" {
 		return errors.New("fleet: replace requires release_file, from which a release learns what is deployed on this node")
 	}
