Make the store's folder and the names of backups durable

What operators might see: after a power failure soon after a member's first start its folder is missing, with all that it acknowledged; or the newest backup is missing although its job is recorded as done and older backups were removed.

Cause: the store created its folder with os.MkdirAll, and a backup was renamed, without flushing the folders that hold the names. The ledger's other users call disk.MakeDir, which flushes them.

Evidence: only read, in the search after the lost changes of a store without members: the simulated disk begins inside the folder and the suite cannot cut the power of a real one, so no test fails before. Suspected, not shown.

Change: disk.MakeDir for both folders, and a flush of the backups' folder after the rename.

--- a/internal/control/fleet/backup.go
+++ b/internal/control/fleet/backup.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"sloehitch/internal/control/leasedtask"
+	"sloehitch/internal/ledger/disk"
 	"sloehitch/internal/store"
 )
 
@@ -27,10 +28,11 @@
 	return p.writeBackup(a)
 }
 
-// writeBackup writes a backup under a temporary name and renames it. The final name contains the fencing token, so
+// writeBackup writes a backup under a temporary name, renames it and makes the name durable. The final name contains the fencing token, so
 // a node that still writes after it has lost the lease cannot overwrite the backup of another node.
 func (p *Participant) writeBackup(a leasedtask.Action) error {
-	if err := os.MkdirAll(p.options.BackupDir, 0o700); err != nil {
+	dir, err := disk.MakeDir(p.options.BackupDir)
+	if err != nil {
 		return err
 	}
 	name := filepath.Join(p.options.BackupDir, fmt.Sprintf("%s-%d.json", a.Record.JobID, a.Token))
@@ -45,7 +47,7 @@
 	if err != nil {
 		return errors.Join(err, os.Remove(tmp.Name()))
 	}
-	return nil
+	return dir.SyncDir() // the new name is durable before older backups are removed
 }
 
 // copyStore writes all documents of the store, read from the first member that can confirm them by a majority.
--- a/internal/store/raftstorage.go
+++ b/internal/store/raftstorage.go
@@ -51,11 +51,11 @@
 			"while the others serve (docs/operators/fleet.md)",
 			dir, legacyLogFile, errLegacyLog)
 	}
-	logPath := filepath.Join(dir, logDir)
-	if err := os.MkdirAll(logPath, 0o700); err != nil {
+	folder, err := disk.MakeDir(filepath.Join(dir, logDir))
+	if err != nil {
 		return raftStorage{}, err
 	}
-	l, err := raftlog.Open(wrap(disk.Dir(logPath)), limits.ForRaftLog, ledgerOptions(log))
+	l, err := raftlog.Open(wrap(folder), limits.ForRaftLog, ledgerOptions(log))
 	if err != nil {
 		return raftStorage{}, err
 	}
