Let check tell where the store keeps acknowledged changes

Cause: `check` described the uwsgi front and the ledger of a deployment file and passed over the store, so a store in memory only looked like one on a disk until the first restart.

Change: a line for the store: of this daemon alone or of N members, in its folder or in memory only.

Measured: TestCheckTellsWhereStoreIsKept, new, and the daemon's tests of operators' state and reloads pass under the race detector.

--- a/cmd/sloehitch/main.go
+++ b/cmd/sloehitch/main.go
@@ -80,9 +80,24 @@
 	if u := l.Deploy.Uwsgi; u.Listen != "" {
 		fmt.Printf("%s: uwsgi on %s, servers %v\n", c.Deploy, u.Listen, u.Servers)
 	}
+	if s := l.Deploy.Store; s.Admin != "" || len(s.Members) > 0 {
+		fmt.Printf("%s: %s\n", c.Deploy, describeStore(s))
+	}
 	return c.checkLedger(l.Deploy.Ledger, log)
 }
 
+// describeStore returns a sentence on where the store keeps acknowledged changes.
+func describeStore(s config.Store) string {
+	members := "of this daemon alone"
+	if len(s.Members) > 0 {
+		members = fmt.Sprintf("of %d members", len(s.Members))
+	}
+	if s.Dir == "" {
+		return "store " + members + ", in memory only: a restart loses its changes"
+	}
+	return fmt.Sprintf("store %s in %s, flushed before a change is acknowledged", members, s.Dir)
+}
+
 // checkLedger checks the ledger's settings and verifies its folder without changing it.
 func (c *checkCmd) checkLedger(l config.Ledger, log *slog.Logger) error {
 	if l.Dir == "" {
--- a/cmd/sloehitch/main_test.go
+++ b/cmd/sloehitch/main_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"sloehitch/internal/platform/config"
+	"sloehitch/internal/store"
 	"sloehitch/internal/testing/standin"
 )
 
@@ -42,3 +44,19 @@
 		}
 	}
 }
+
+// TestCheckTellsWhereStoreIsKept guards against operators who take a store for durable that is in memory only.
+func TestCheckTellsWhereStoreIsKept(t *testing.T) {
+	for _, c := range []struct {
+		settings config.Store
+		want     string
+	}{
+		{config.Store{Admin: "127.0.0.1:1"}, "store of this daemon alone, in memory only: a restart loses its changes"},
+		{config.Store{Dir: "d"}, "store of this daemon alone in d, flushed before a change is acknowledged"},
+		{config.Store{Dir: "d", Members: make([]store.Member, 3)}, "store of 3 members in d, flushed before a change is acknowledged"},
+	} {
+		if got := describeStore(c.settings); got != c.want {
+			t.Errorf("%+v: %q, want %q", c.settings, got, c.want)
+		}
+	}
+}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -26,7 +26,9 @@
 		return err
 	}
 	d.logStore(settings)
-	d.applyStoredValue(store.KeyClosedNodes, d.store.Get(store.KeyClosedNodes))
+	if closed := d.store.Get(store.KeyClosedNodes); closed != "" {
+		d.applyStoredValue(store.KeyClosedNodes, closed)
+	}
 	return nil
 }
 
