--- a/internal/store/standalone.go
+++ b/internal/store/standalone.go
@@ -84,7 +84,7 @@
 		return
 	default:
 	}
-	s.opts.Logger.Error("the store rejects changes; the node continues to serve", "error", err)
+	s.opts.Logger.Error("the store can't use its data directory and rejects changes", "folder", s.opts.Dir, "error", err)
 	if errors.Is(err, errOtherVoters) {
 		err = nil
 	}
