Show what the node did with the connection of a lost request

The proxy now tells from which address the server sees a client's connection, the timeline of a lost request has the log lines of that address, and the end of reading is logged at debug level for each connection with its error.

--- a/internal/frontend/resp/closing.go
+++ b/internal/frontend/resp/closing.go
@@ -64,10 +64,9 @@
 	}
 	c.closeIfDone()
 	c.mu.Unlock()
+	c.front.opts.Log.Debug("reading from a connection ended", "peer", c.socket.RemoteAddr(), "error", err, "open", ids)
 	if why == endedByBadInput {
 		c.front.log.Warn("closing a connection because of malformed input", err)
-	} else {
-		c.front.opts.Log.Debug("reading from a connection ended", "peer", c.socket.RemoteAddr(), "error", err, "open", ids)
 	}
 	for _, id := range ids {
 		switch why {
--- a/internal/testing/faults/linkproxy/linkproxy.go
+++ b/internal/testing/faults/linkproxy/linkproxy.go
@@ -50,6 +50,7 @@
 	closed     bool
 	pairs      map[*pair]struct{}
 	opened     int
+	forwarded  map[string]string // the proxy's own address on the way to the server, by the client's address
 }
 
 // New listens on a free address and forwards connections to the server.
@@ -61,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, server: server, random: rand.New(rand.NewPCG(seed, seed)), pairs: map[*pair]struct{}{}}
+	p := &Proxy{listener: listener, server: server, random: rand.New(rand.NewPCG(seed, seed)), pairs: map[*pair]struct{}{}, forwarded: map[string]string{}}
 	go p.serve()
 	return p, nil
 }
@@ -90,6 +91,14 @@
 	p.server = server
 }
 
+// ForwardedFrom returns the address from which the server sees the newest connection of the client with the given address, or "" if
+// there was none.
+func (p *Proxy) ForwardedFrom(client net.Addr) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.forwarded[client.String()]
+}
+
 // Opened returns how many connections clients have opened so far.
 func (p *Proxy) Opened() int {
 	p.mu.Lock()
@@ -163,6 +172,7 @@
 	pr.flows[ToClient] = newFlow(pr, ToClient, server, client)
 	p.mu.Lock()
 	p.pairs[pr] = struct{}{}
+	p.forwarded[client.RemoteAddr().String()] = server.LocalAddr().String()
 	closed := p.closed
 	p.mu.Unlock()
 	if closed {
--- a/internal/testing/soak/check_answers.go
+++ b/internal/testing/soak/check_answers.go
@@ -35,7 +35,7 @@
 	case q.ended == endedByNode:
 		r.addViolation(RuleLost,
 			fmt.Sprintf("request %s was written at %v and its connection ended at %v without an answer (read by the node: %v)", q.id,
-				q.written, q.endedAt, read), q.id, q.key)
+				q.written, q.endedAt, read), q.id, q.key, "peer="+q.seenFrom+" ")
 	default:
 		r.addViolation(RuleLost, fmt.Sprintf("request %s was due at %v and never answered (read by the node: %v)", q.id, q.due, read),
 			q.id, q.key)
--- a/internal/testing/soak/client.go
+++ b/internal/testing/soak/client.go
@@ -192,12 +192,13 @@
 	}
 	clear(k.inFlight)
 	k.mu.Unlock()
+	seenFrom := run.clientProxy.ForwardedFrom(k.LocalAddr())
 	k.Close()
 	run.record.add("client", "end", "", "", fmt.Sprint(k.number, " ", err, " open ", len(open)))
 	for _, q := range open {
 		crossed := false
 		run.requests.update(func() {
-			q.ended, q.endedAt = how, at
+			q.ended, q.endedAt, q.seenFrom = how, at, seenFrom
 			crossed = q.written == 0 || at-q.written <= closeRaceWindow+run.plan.Links["client"].delay()
 		})
 		run.record.add("client", "unanswered", q.id, q.key, fmt.Sprint("connection ended; written just before the end: ", crossed))
--- a/internal/testing/soak/report.go
+++ b/internal/testing/soak/report.go
@@ -28,7 +28,7 @@
 // Violation is one violation of a rule.
 type Violation struct {
 	Rule, What string
-	Names      []string // ids and keys of the requests concerned
+	Names      []string // ids and keys of the requests concerned, and parts of log lines such as "peer=ADDRESS "
 }
 
 // Report is the result of a run.
--- a/internal/testing/soak/requests.go
+++ b/internal/testing/soak/requests.go
@@ -17,6 +17,7 @@
 	canceled   bool          // its client canceled it
 	ended      connectionEnd // how its connection ended, if that was before the answer
 	endedAt    time.Duration
+	seenFrom   string // the address from which the node saw that connection
 	answers    []answer
 	runs       []runStart
 	wrongReply bool   // a wrong reply reached its run
--- a/internal/testing/soak/timeline.go
+++ b/internal/testing/soak/timeline.go
@@ -14,7 +14,7 @@
 		for _, text := range r.Logs {
 			for line := range strings.SplitSeq(text, "\n") {
 				for _, name := range b.Names {
-					if name != "" && strings.Contains(line, name) {
+					if name != "" && strings.Contains(line+" ", name) {
 						fmt.Fprintln(w, "  ", line)
 						break
 					}
