Read again what a slow last look may have missed before closing

Cause: a connection that is being closed is read until nothing has arrived, and its sending side is shut down by the next system call. A process that is stopped just as that read returns goes on with the shutdown, however much arrived meanwhile; a SIGSTOP takes effect exactly at the return of a system call, and the Go scheduler may let others run there too. The same holds for a listener between the look at its queue and its shutdown.

A look that takes longer than 1 ms proves nothing and is repeated, at most 100 times. What remains are the instructions between reading the clock and the system call. 1 ms is far below the 50 ms for which callers resend a request that crosses a close.

--- a/internal/frontend/gracefulclose/listener.go
+++ b/internal/frontend/gracefulclose/listener.go
@@ -9,6 +9,9 @@
 	"sloehitch/internal/platform/sockerr"
 )
 
+// pollDescriptors calls poll(2); tests replace it.
+var pollDescriptors = unix.Poll
+
 // HasPendingConnections reports whether connections wait in a listener's accept queue. If none does and
 // shutdown is set, the very next system call shuts the listener down, so that no connection can arrive in
 // between and be reset. It does not block, and returns false for a listener that is closed or exposes no file
@@ -23,12 +26,17 @@
 		return false
 	}
 	err = control.Control(func(fd uintptr) {
+		var n int
+		var err error
 		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(state, 0)
-		for attempt := 0; sockerr.IsTransient(err) && attempt < sockerr.MaxRetries; attempt++ {
-			n, err = unix.Poll(state, 0)
-		}
-		pending = err == nil && n > 0 && state[0].Revents&unix.POLLIN != 0
+		promptly(func() (empty bool) {
+			n, err = pollDescriptors(state, 0)
+			for attempt := 0; sockerr.IsTransient(err) && attempt < sockerr.MaxRetries; attempt++ {
+				n, err = pollDescriptors(state, 0)
+			}
+			pending = err == nil && n > 0 && state[0].Revents&unix.POLLIN != 0
+			return err == nil && !pending
+		})
 		if err == nil && !pending && shutdown {
 			_ = unix.Shutdown(int(fd), unix.SHUT_RDWR) // fails only on a closed listener
 		}
