End a silent connection like all others, read until it is shut

A new connection without a slot has 10 ms for its first message. After that, what had arrived was read once more and the connection was closed a little later: by redcon, after the error had gone up the stack. A request that arrived in between, as in a process that is stopped just there, was reset without an answer.

A connection on which nothing arrived in time now ends as an evicted one does: it is read until nothing has arrived, and shut by the next system call.

Looked at and left: uwsgi callers whose time is over get a status before the close; operators' connections owe no answer to an incomplete call; a message that was begun and not completed in time is malformed input.

Measured: TestRequestOnSilentConnectionIsAnsweredUntilItEnds fails without the change (the peer read nothing, want NAK) and passes with it, five times with -race, with the other tests of the package.

--- a/internal/frontend/resp/framed_conn.go
+++ b/internal/frontend/resp/framed_conn.go
@@ -90,7 +90,10 @@
 		deadline = c.timeoutFrom.Add(c.messageTimeout)
 	}
 	n, err := c.readUntil(deadline, b)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && complete == 0 && !begun {
+		n, err = c.endSilent(b)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errMessageTimeout) {
 		err, c.readErr = errMessageTimeout, errMessageTimeout
 	}
 	valid, framingErr := c.validator.check(b[:n])
@@ -131,6 +134,17 @@
 	return n, arrived
 }
 
+// endSilent ends a connection on which nothing arrived in time. A request that arrives before the sending side is shut down
+// is still read.
+func (c *framedConn) endSilent(b []byte) (int, error) {
+	c.stopReading()
+	n, err := c.readRemaining(b)
+	if errors.Is(err, errReadingStopped) {
+		return 0, errMessageTimeout
+	}
+	return n, err
+}
+
 // remainingPollInterval is how often a closing connection is polled for further bytes while answers are due.
 const remainingPollInterval = 2 * time.Millisecond
 
--- a/internal/frontend/resp/unadmitted_test.go
+++ b/internal/frontend/resp/unadmitted_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
+	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,3 +123,82 @@
 	}
 	waitFor(t, "no connection is without a slot", func() bool { return len(f.unadmitted) == 0 })
 }
+
+// connWithPause is a connection whose process is paused after each system call that package gracefulclose makes on it.
+type connWithPause struct {
+	*net.TCPConn
+	pause func()
+}
+
+func (c *connWithPause) SyscallConn() (syscall.RawConn, error) {
+	control, err := c.TCPConn.SyscallConn()
+	return rawConnWithPause{control, c.pause}, err
+}
+
+type rawConnWithPause struct {
+	syscall.RawConn
+	pause func()
+}
+
+func (c rawConnWithPause) Control(f func(fd uintptr)) error {
+	defer c.pause()
+	return c.RawConn.Control(f)
+}
+
+// pausingListener accepts connections of the type connWithPause.
+type pausingListener struct {
+	*net.TCPListener
+	pause func()
+}
+
+func (l pausingListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &connWithPause{c, l.pause}, nil
+}
+
+// TestRequestOnSilentConnectionIsAnsweredUntilItEnds guards against a lost request: a new connection without a slot whose first
+// message was late was closed some time after its last read, and a request that arrived in between, while the process was paused,
+// was reset. In each of the first pauses, the peer sends a request unless it can tell that the connection has ended.
+func TestRequestOnSilentConnectionIsAnsweredUntilItEnds(t *testing.T) {
+	for sendInPause := 1; sendInPause <= 2; sendInPause++ {
+		lim := limits.For(64, 256)
+		lim.MaxConnections = 1
+		core := newFakeCore()
+		f := New(Options{Core: core, Status: fakeStatus{}, Classes: map[string]int{"book": 0}, Tenants: map[string]int{"acme": 0}, Limits: lim, Log: standin.DiscardLogger})
+		var silent *standin.Balancer
+		var answer, want []string
+		pauses, connected, hasRead := 0, make(chan struct{}), make(chan struct{})
+		pause := func() {
+			if pauses++; pauses != sendInPause {
+				return
+			}
+			<-connected
+			go func() {
+				defer close(hasRead)
+				answer = silent.Read()
+			}()
+			select {
+			case <-hasRead: // the end of the connection
+			case <-time.After(50 * time.Millisecond):
+				want = []string{"7", "NAK"}
+				silent.Do(7, "book", "00000000000000aa", time.Now(), "body", "")
+			}
+		}
+		ln := f.Listen(pausingListener{standin.Listen(t).(*net.TCPListener), pause}, false)
+		go func() { _ = f.Serve(ln) }()
+		busy := standin.Dial(t, ln.Addr().String())
+		busy.Do(7, "book", testRequestID, time.Now(), "body", "")
+		<-core.submitted
+		silent = standin.Dial(t, ln.Addr().String())
+		close(connected)
+		<-hasRead
+		if len(answer) < len(want) || !slices.Equal(answer[:len(want)], want) || want == nil && answer != nil {
+			t.Errorf("pause %d: the peer read %q, want %q", sendInPause, answer, want)
+		}
+		_ = ln.Close()
+		f.Close()
+	}
+}
