Judge a request's crossing with a close by times at the node

The soak counted a request as lost if it had been written more than the resend window and the link's delay before its connection ended, by the client's times. Traces: a request written at 4.658 reached the node at 4.817, the node's end of that connection had come at 4.813; another, written at 6.228, was not delivered when the end came at 6.573.

The proxy now records when each write to the node began and when the node's end arrived, and the check compares these: a request that reached the node up to the window (50 ms and the rig's 60 ms, without the link's delay of up to 0.15 s) before the end, or after it, crossed the close. A connection that never reached the node is judged by the client's times as before.

--- a/internal/testing/faults/linkproxy/linkproxy.go
+++ b/internal/testing/faults/linkproxy/linkproxy.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -50,7 +51,31 @@
 	closed     bool
 	pairs      map[*pair]struct{}
 	opened     int
-	forwarded  map[string]string // the proxy's own address on the way to the server, by the client's address
+	forwarded  map[string]*Forwarded // the newest connection of each client, by the client's address
+}
+
+// Forwarded tells how the proxy forwarded a client's connection.
+type Forwarded struct {
+	From       string    // the address from which the server sees the connection
+	Ended      time.Time // when the server's end of stream or reset arrived; zero: it has not
+	Deliveries []Delivery
+}
+
+// Delivery is a write to the server, or an attempt on a connection that the server had closed.
+type Delivery struct {
+	Total int       // bytes delivered so far, with this write
+	At    time.Time // when the write began
+}
+
+// Delivered returns when the last of the given number of bytes from the client was written to the server, or false if it was not
+// written before the connection ended.
+func (f Forwarded) Delivered(bytes int) (time.Time, bool) {
+	for _, d := range f.Deliveries {
+		if d.Total >= bytes {
+			return d.At, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // New listens on a free address and forwards connections to the server.
@@ -62,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, server: server, random: rand.New(rand.NewPCG(seed, seed)), pairs: map[*pair]struct{}{}, forwarded: map[string]string{}}
+	p := &Proxy{listener: listener, server: server, random: rand.New(rand.NewPCG(seed, seed)), pairs: map[*pair]struct{}{}, forwarded: map[string]*Forwarded{}}
 	go p.serve()
 	return p, nil
 }
@@ -91,12 +116,17 @@
 	p.server = server
 }
 
-// ForwardedFrom returns the address from which the server sees the newest connection of the client with the given address, or "" if
-// there was none.
-func (p *Proxy) ForwardedFrom(client net.Addr) string {
+// Forwarded returns how the newest connection of the client with the given address was forwarded.
+func (p *Proxy) Forwarded(client net.Addr) Forwarded {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.forwarded[client.String()]
+	found := p.forwarded[client.String()]
+	if found == nil {
+		return Forwarded{}
+	}
+	result := *found
+	result.Deliveries = slices.Clone(found.Deliveries)
+	return result
 }
 
 // Opened returns how many connections clients have opened so far.
@@ -157,6 +187,7 @@
 	p.mu.Lock()
 	refusing, target := p.refusing || p.closed, p.server
 	p.opened++
+	delete(p.forwarded, client.RemoteAddr().String()) // of an earlier connection from the same port
 	p.mu.Unlock()
 	if refusing {
 		reset(client)
@@ -167,12 +198,12 @@
 		reset(client)
 		return
 	}
-	pr := &pair{proxy: p, client: client, server: server, done: make(chan struct{})}
+	pr := &pair{proxy: p, client: client, server: server, done: make(chan struct{}), forwarded: &Forwarded{From: server.LocalAddr().String()}}
 	pr.flows[ToServer] = newFlow(pr, ToServer, client, server)
 	pr.flows[ToClient] = newFlow(pr, ToClient, server, client)
 	p.mu.Lock()
 	p.pairs[pr] = struct{}{}
-	p.forwarded[client.RemoteAddr().String()] = server.LocalAddr().String()
+	p.forwarded[client.RemoteAddr().String()] = pr.forwarded
 	closed := p.closed
 	p.mu.Unlock()
 	if closed {
@@ -204,6 +235,7 @@
 	once           sync.Once
 	done           chan struct{}
 	ended          [directions]bool // guarded by proxy.mu: the end of this direction has been delivered
+	forwarded      *Forwarded       // guarded by proxy.mu
 }
 
 // end closes both connections, with a TCP reset if abort is set.
@@ -223,6 +255,24 @@
 	})
 }
 
+// recordDelivery records that bytes are about to be written to the server.
+func (pr *pair) recordDelivery(bytes int) {
+	pr.proxy.mu.Lock()
+	defer pr.proxy.mu.Unlock()
+	total := bytes
+	if n := len(pr.forwarded.Deliveries); n > 0 {
+		total += pr.forwarded.Deliveries[n-1].Total
+	}
+	pr.forwarded.Deliveries = append(pr.forwarded.Deliveries, Delivery{total, time.Now()})
+}
+
+// recordServerEnd records that the server's end of stream or reset has arrived.
+func (pr *pair) recordServerEnd() {
+	pr.proxy.mu.Lock()
+	defer pr.proxy.mu.Unlock()
+	pr.forwarded.Ended = time.Now()
+}
+
 // delivered records that the end of a direction has been delivered, and closes the pair once this holds for both directions.
 func (pr *pair) delivered(d Direction) {
 	pr.proxy.mu.Lock()
@@ -277,6 +327,9 @@
 // receivedEnd queues the sender's end of stream or reset behind the bytes in flight, because a network keeps the order of what one side
 // sends.
 func (f *flow) receivedEnd(err error) {
+	if f.direction == ToClient {
+		f.pair.recordServerEnd()
+	}
 	if isEOF(err) {
 		f.enqueue(nil)
 		return
@@ -357,6 +410,9 @@
 		if c, _ := f.pair.proxy.current(f.direction); c.Piece > 0 {
 			size = min(size, c.Piece)
 		}
+		if f.direction == ToServer {
+			f.pair.recordDelivery(size)
+		}
 		if _, err := f.to.Write(bytes[:size]); err != nil {
 			// The receiver has reset the connection. The opposite direction delivers that reset in order, after the bytes sent before it.
 			return false
--- a/internal/testing/soak/check_answers.go
+++ b/internal/testing/soak/check_answers.go
@@ -35,7 +35,7 @@
 	case q.ended == endedByNode:
 		r.addViolation(RuleLost,
 			fmt.Sprintf("request %s was written at %v and its connection ended at %v without an answer (read by the node: %v)", q.id,
-				q.written, q.endedAt, read), q.id, q.key, "peer="+q.seenFrom+" ")
+				q.written, q.endedAt, read), q.id, q.key, "peer="+q.forwarded.From+" ")
 	default:
 		r.addViolation(RuleLost, fmt.Sprintf("request %s was due at %v and never answered (read by the node: %v)", q.id, q.due, read),
 			q.id, q.key)
@@ -45,10 +45,11 @@
 	}
 }
 
-// racedWithEnd reports whether a request was written within the close race window of the end of its connection or of its process.
+// racedWithEnd reports whether a request reached the node within the close race window of the end of its connection, or later, or was
+// written that shortly before or after the end of its process.
 func (run *testRun) racedWithEnd(q *request) bool {
 	reach := closeRaceWindow + run.plan.Links["client"].delay()
-	if q.endedAt-q.written <= reach+rigSlack/2 {
+	if run.reachedNodeJustBeforeEnd(q) {
 		return true
 	}
 	for _, proc := range run.processes { // the proxy accepts connections and bytes while no process is running
@@ -59,6 +60,27 @@
 	return false
 }
 
+// reachedNodeJustBeforeEnd compares the times at the node's side of the proxy: a rig that is short of processor time delivers late, so
+// the times at the client say little. If the proxy had no connection to the node, only the client's times are known.
+func (run *testRun) reachedNodeJustBeforeEnd(q *request) bool {
+	const window = closeRaceWindow + rigSlack/2
+	if q.forwarded.Ended.IsZero() {
+		return q.endedAt-q.written <= window+run.plan.Links["client"].delay()
+	}
+	from, reached := run.reachedNodeAt(q)
+	to := q.forwarded.Ended.Sub(run.record.began)
+	return !reached || to-from-run.unscheduledBetween(from, to) <= window
+}
+
+// reachedNodeAt returns when the last byte of a request was delivered to the node, or false if its connection had ended by then.
+func (run *testRun) reachedNodeAt(q *request) (time.Duration, bool) {
+	at, reached := q.forwarded.Delivered(q.sentUpTo)
+	if !reached || q.sentUpTo == 0 {
+		return 0, false
+	}
+	return at.Sub(run.record.began), true
+}
+
 // producedFor reports whether a result comes from a run of the request, or of another attempt with the same idempotency key.
 func (run *testRun) producedFor(q *request, body string) bool {
 	id, found := strings.CutPrefix(body, "result of ")
--- a/internal/testing/soak/check_pauses.go
+++ b/internal/testing/soak/check_pauses.go
@@ -15,6 +15,14 @@
 	return sum
 }
 
+// unscheduledBetween returns how long the machine did not schedule the rig between two times.
+func (run *testRun) unscheduledBetween(from, to time.Duration) (sum time.Duration) {
+	for _, x := range run.schedulingDelays {
+		sum += max(0, min(x.to, to)-max(x.from, from))
+	}
+	return sum
+}
+
 // minSchedulingTurn is the shortest time between two pauses in which a process is sure to have run, even on a busy machine.
 const minSchedulingTurn = 5 * time.Millisecond
 
--- a/internal/testing/soak/checker_test.go
+++ b/internal/testing/soak/checker_test.go
@@ -4,18 +4,21 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"sloehitch/internal/testing/faults/linkproxy"
 )
 
 // violatedRules returns the rules that the checker reports as violated for these attempts, in a test run with one process that ran for 20 s
 // and was sent SIGTERM at 10 s.
 func violatedRules(t *testing.T, attempts ...*request) []string {
 	t.Helper()
-	run := &testRun{record: newRecord(), requests: newRequests(), counts: map[string]int{}, catalogue: &catalogue{calls: map[string]int{}}, directory: &directory{},
+	run := &testRun{record: &Record{}, requests: newRequests(), counts: map[string]int{}, catalogue: &catalogue{calls: map[string]int{}}, directory: &directory{},
 		plan: Plan{Site: Site{ReadDeadline: 2 * time.Second, BookDeadline: 2 * time.Second, Window: 30 * time.Second, DrainGrace: time.Second, MemoryMB: 32, Sockets: 64}}}
 	run.processes = []*process{{number: 1, startedAt: 0, readyAt: time.Millisecond, terminatedAt: 10 * time.Second, endedAt: 20 * time.Second}}
 	for at := time.Duration(0); at < 20*time.Second; at += time.Second {
 		run.directory.reports = append(run.directory.reports, at)
 	}
+	run.schedulingDelays = []pause{{7 * time.Second, 8 * time.Second}}
 	for _, q := range attempts {
 		q.process = 1
 		run.requests.byID[q.id] = q
@@ -39,6 +42,10 @@
 		}
 		return all
 	}
+	forwarded := func(delivered, ended time.Duration) linkproxy.Forwarded {
+		zero := time.Time{}
+		return linkproxy.Forwarded{Ended: zero.Add(ended), Deliveries: []linkproxy.Delivery{{Total: 4, At: zero.Add(delivered)}, {Total: 5, At: zero.Add(delivered)}, {Total: 9, At: zero.Add(ended)}}}
+	}
 	for _, c := range []struct {
 		name     string
 		attempts []*request
@@ -79,6 +86,18 @@
 			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByNode, endedAt: 2 * s}}, []string{RuleLost}},
 		{"written just before the node closed the connection",
 			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByNode, endedAt: s + 20*time.Millisecond}}, nil},
+		{"delivered late by the rig's proxy, just before the node closed the connection",
+			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByNode, endedAt: 2 * s, sentUpTo: 5, forwarded: forwarded(2*s-50*time.Millisecond, 2*s)}}, nil},
+		{"delivered long before the node closed the connection",
+			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByNode, endedAt: 2 * s, sentUpTo: 5, forwarded: forwarded(2*s-150*time.Millisecond, 2*s)}},
+			[]string{RuleLost}},
+		{"delivered long before the node closed the connection, on which more was delivered later",
+			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByNode, endedAt: 2 * s, sentUpTo: 4, forwarded: forwarded(s, 2*s)}},
+			[]string{RuleLost}},
+		{"not delivered by the rig's proxy before the node closed the connection",
+			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByNode, endedAt: 2 * s, sentUpTo: 10, forwarded: forwarded(s, 2*s)}}, nil},
+		{"the rig was not scheduled between the delivery and the end of the connection",
+			[]*request{{id: "a", class: "read", written: 7 * s, due: 9 * s, ended: endedByNode, endedAt: 8 * s, sentUpTo: 5, forwarded: forwarded(7*s, 8*s)}}, nil},
 		{"connection closed by its client",
 			[]*request{{id: "a", class: "read", written: s, due: 3 * s, ended: endedByClient, endedAt: 2 * s}}, nil},
 		{"canceled by its client", []*request{{id: "a", class: "read", written: s, due: 3 * s, canceled: true}}, nil},
--- a/internal/testing/soak/client.go
+++ b/internal/testing/soak/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -67,11 +66,12 @@
 	tag := k.register(q) // from here on the connection's reader may access the request
 	run.record.add("client", "write", q.id, key, fmt.Sprint(class, " on ", k.number, " due ", q.due))
 	text := array("DO", tag, class, fields, q.body)
-	if err := c.write(k, text); err != nil {
+	sent, err := c.write(k, text)
+	if err != nil {
 		k.forget(tag)
 		return
 	}
-	run.requests.update(func() { q.written = run.record.now() })
+	run.requests.update(func() { q.written, q.sentUpTo = run.record.now(), sent })
 	if c.random.Float64() < cancelFraction {
 		time.AfterFunc(time.Duration(c.random.Int64N(int64(wait))), func() { c.cancel(k, tag, q) })
 	}
@@ -86,26 +86,26 @@
 	c.testRun.record.add("client", "undo", q.id, q.key, "")
 	k.writing.Lock()
 	defer k.writing.Unlock()
-	_, _ = io.WriteString(k, array("UNDO", tag)) // if the connection has ended, there is nothing to cancel
+	_, _ = k.send(array("UNDO", tag)) // if the connection has ended, there is nothing to cancel
 }
 
-func (c *client) write(k *clientConn, text string) error {
+// write writes a message, and returns how many bytes were written on the connection by then.
+func (c *client) write(k *clientConn, text string) (sent int, err error) {
 	k.writing.Lock()
 	defer k.writing.Unlock()
 	_ = k.SetWriteDeadline(time.Now().Add(5 * time.Second))
 	if c.behavior != slow {
-		_, err := io.WriteString(k, text)
-		return err
+		return k.send(text)
 	}
 	for len(text) > 0 {
 		n := min(len(text), minPieceBytes+c.random.IntN(40))
-		if _, err := io.WriteString(k, text[:n]); err != nil {
-			return err
+		if sent, err = k.send(text[:n]); err != nil {
+			return sent, err
 		}
 		text = text[n:]
 		time.Sleep(pieceInterval)
 	}
-	return nil
+	return sent, nil
 }
 
 // connection returns the connection to send on: the current one if the client's behavior allows it, else a new one. It returns nil if it
@@ -192,16 +192,18 @@
 	}
 	clear(k.inFlight)
 	k.mu.Unlock()
-	seenFrom := run.clientProxy.ForwardedFrom(k.LocalAddr())
+	forwarded := run.clientProxy.Forwarded(k.LocalAddr())
 	k.Close()
 	run.record.add("client", "end", "", "", fmt.Sprint(k.number, " ", err, " open ", len(open)))
 	for _, q := range open {
-		crossed := false
+		crossed, reached := false, time.Duration(0)
 		run.requests.update(func() {
-			q.ended, q.endedAt, q.seenFrom = how, at, seenFrom
+			q.ended, q.endedAt, q.forwarded = how, at, forwarded
+			reached, _ = run.reachedNodeAt(q)
 			crossed = q.written == 0 || at-q.written <= closeRaceWindow+run.plan.Links["client"].delay()
 		})
-		run.record.add("client", "unanswered", q.id, q.key, fmt.Sprint("connection ended; written just before the end: ", crossed))
+		run.record.add("client", "unanswered", q.id, q.key, fmt.Sprintf("connection ended; written just before the end: %v; reached the node at %v, whose end came at %v",
+			crossed, reached, forwarded.Ended.Sub(run.record.began)))
 		if crossed || q.key != "" {
 			c.retryLater(q, q.id)
 		}
--- a/internal/testing/soak/client_connection.go
+++ b/internal/testing/soak/client_connection.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -11,6 +12,7 @@
 	net.Conn
 	number  int
 	writing sync.Mutex // held while a message is written, since a slow client writes a message in pieces
+	sent    int        // bytes written so far; guarded by writing
 
 	mu       sync.Mutex
 	tag      int
@@ -20,6 +22,13 @@
 	ended    bool
 }
 
+// send writes a message or a piece of one, and returns how many bytes were written on the connection by then. The caller holds writing.
+func (k *clientConn) send(text string) (sent int, err error) {
+	n, err := io.WriteString(k, text)
+	k.sent += n
+	return k.sent, err
+}
+
 // usable reports whether another request may be written.
 func (k *clientConn) usable(h behavior) bool {
 	k.mu.Lock()
--- a/internal/testing/soak/requests.go
+++ b/internal/testing/soak/requests.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"sloehitch/internal/testing/faults/linkproxy"
 )
 
 // request is one attempt as its client sees it. Times are since the test run began.
@@ -17,7 +19,8 @@
 	canceled   bool          // its client canceled it
 	ended      connectionEnd // how its connection ended, if that was before the answer
 	endedAt    time.Duration
-	seenFrom   string // the address from which the node saw that connection
+	sentUpTo   int                 // bytes written on its connection, with this request
+	forwarded  linkproxy.Forwarded // how the proxy before the node forwarded that connection
 	answers    []answer
 	runs       []runStart
 	wrongReply bool   // a wrong reply reached its run
