--- a/cmd/sloehitch-lab/soak.go
+++ b/cmd/sloehitch-lab/soak.go
@@ -18,7 +18,7 @@
 	Jobs    int           `default:"4" help:"Number of concurrent test runs."`
 	Faults  []string      `help:"Only these kinds of fault: reset-runtime, stall-to-runtime, stall-from-runtime, reset-clients, reset-catalogue, catalogue-down, pause, reload, step-wall-clock, directory-silent."`
 	Calls   float64       `help:"The rate at which system calls on the daemon's sockets fail or are short, such as 0.003; 0: none."`
-	Show    int           `default:"1" help:"Number of violations per test run whose timelines are printed."`
+	Show    int           `default:"1" help:"Number of violations per test run that are printed with their timelines; the others have a line each."`
 	Logs    string        `help:"A folder for the process logs of test runs with violations."`
 	Program string        `default:"bin/sloehitch" type:"existingfile" help:"The daemon's program."`
 }
