Keep the soak's clients from writing on a connection that has ended

A client's reader marks a connection as ended, takes the requests in flight and closes it; a client that had found the connection usable just before could still register and write a request, which nobody followed any more.

The connection refuses a request once it has ended.

--- a/internal/testing/soak/client.go
+++ b/internal/testing/soak/client.go
@@ -63,7 +63,10 @@
 		q.process, q.conn, q.resentOf = run.latestProcess(), k.number, resentOf
 		q.due = stamp.Sub(run.record.began) + wait
 	})
-	tag := k.register(q) // from here on the connection's reader may access the request
+	tag, open := k.register(q) // from here on the connection's reader may access the request
+	if !open {
+		return
+	}
 	run.record.add("client", "write", q.id, key, fmt.Sprint(class, " on ", k.number, " due ", q.due))
 	text := array("DO", tag, class, fields, q.body)
 	sent, err := c.write(k, text)
--- a/internal/testing/soak/client_connection.go
+++ b/internal/testing/soak/client_connection.go
@@ -36,13 +36,18 @@
 	return !k.ended && !k.closed && len(k.inFlight) < 32 && (!k.draining || h == ignoringClose || h == idling)
 }
 
-func (k *clientConn) register(q *request) string {
+// register adds a request to those in flight and returns its tag. It returns false if the connection has ended: nobody would learn of
+// that request's end.
+func (k *clientConn) register(q *request) (tag string, open bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.ended {
+		return "", false
+	}
 	k.tag++
-	tag := strconv.Itoa(k.tag)
+	tag = strconv.Itoa(k.tag)
 	k.inFlight[tag] = q
-	return tag
+	return tag, true
 }
 
 // forget removes a request from those in flight. It returns false if the request is not in flight.
