--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,11 +1,10 @@
-// Command 10 replaces the process of a node that takes part in a fleet.
+// Command 10 replaces the process of a node that operators are emptying, and asks the node's health afterwards.
 package main
 
 import (
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -14,117 +13,122 @@
 )
 
 const (
-	deadlineMS = 3000 // of the only class: the kill comes so long and 0.7 s after SIGTERM
+	deadlineMS = 1000                   // of the only class: the kill comes so long and 0.7 s after SIGTERM
+	allowed    = 4 * time.Second        // after the call, a good answer breaks the rule
+	asked      = 9 * time.Second        // after the call, the last health check
+	between    = 100 * time.Millisecond // two health checks
 	killAfter  = (deadlineMS + 700) * time.Millisecond
 )
 
 func main() { rig2.Main(play) }
 
-// deployment is the node of the case, and a node that keeps the store.
+// deployment is the node of the case.
 type deployment struct {
 	c        *rig2.Case
 	listen   string
 	listener *os.File
-	deploy   string
+	lookup   string
 }
 
 func play(c *rig2.Case) error {
-	d := deployment{c: c}
-	if err := d.startStore(); err != nil {
-		return err
-	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	if d.listener, err = ln.(*net.TCPListener).File(); err != nil {
+	file, err := ln.(*net.TCPListener).File()
+	if err != nil {
 		return err
 	}
-	d.listen = ln.Addr().String()
-	old, err := d.start("old")
+	lookup, err := c.StartDirectory()
 	if err != nil {
 		return err
 	}
-	if old.Ended() {
-		return fmt.Errorf("the first process ended")
-	}
-	time.Sleep(1500 * time.Millisecond)
-	if !c.Trouble {
-		time.Sleep(2 * time.Second)
-		if old.Ended() {
-			c.Broken("the process ended")
-		}
-		return nil
-	}
-	replacement, err := d.start("new")
+	d := deployment{c: c, listen: ln.Addr().String(), listener: file, lookup: lookup}
+	old, ops, err := d.start("old")
 	if err != nil {
 		return err
 	}
-	if replacement.Ended() {
-		c.Broken("the new process ended as it started; the old one still serves")
-		return nil
+	time.Sleep(time.Second)
+	if word, err := d.health(); err != nil || word != "GREEN" {
+		return fmt.Errorf("health before the call: %q, %w", word, err)
 	}
-	old.Signal(syscall.SIGTERM)
-	if !old.WaitEnd(killAfter) {
-		old.Kill()
+	answer, err := c.Ops(ops, "evacuate")
+	c.Note("operators: evacuate, answer %q", answer)
+	if err != nil || !strings.HasPrefix(answer, "ACK") {
+		return fmt.Errorf("evacuate: %q, %w", answer, err)
 	}
-	time.Sleep(2 * time.Second)
-	if replacement.Ended() {
-		c.Broken("the new process ended after the old one")
+	calledAt := time.Now()
+	if c.Trouble {
+		if err := d.replace(old); err != nil {
+			return err
+		}
 	}
-	return nil
+	return d.check(calledAt)
 }
 
-// startStore starts the node that keeps the store, and writes the deployment file of the other one.
-func (d *deployment) startStore() error {
-	a, err := rig2.FreeAddresses(3)
+// start starts a process of the node, with an address for operators and one of the runtime of its own.
+func (d deployment) start(name string) (*rig2.Process, string, error) {
+	runtime, err := d.c.StartRuntime(func(string) time.Duration { return 20 * time.Millisecond })
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	config, err := d.config("n0", a[0], a[1], "127.0.0.1:9") // nothing is asked of this node's runtime
+	ops, err := rig2.FreeAddress()
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	deploy, err := d.c.WriteFile("n0.toml", fmt.Sprintf("[store]\nadmin = %q\ndir = %q\n", a[2], filepath.Join(d.c.Dir, "store")))
+	config, err := d.c.WriteJSON(name+".json", map[string]any{"name": "n3", "listen": d.listen, "ops": ops, "runtime": runtime.Address,
+		"lookup": d.lookup, "seed": "8c1f30d27a5be964", "stop_ms": 3200, "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
+		"settings": rig2.Settings(2000, rig2.Class("slot-search", "retryable", deadlineMS/2, deadlineMS, 5000))})
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	p, err := d.c.StartDaemon(rig2.Daemon{Name: "n0", Config: config, Deploy: deploy})
+	p, err := d.c.StartDaemon(rig2.Daemon{Name: name, Config: config, Accept: d.listener, Env: []string{"GW_OPS=" + ops, "TMPDIR=" + d.c.Dir}})
 	if err != nil {
-		return err
+		return nil, "", err
 	}
-	if err := d.c.WaitReady(a[1], p); err != nil {
-		return err
-	}
-	d.deploy, err = d.c.WriteFile("n3.toml", fmt.Sprintf("[fleet]\nmembers = [%q]\ndir = %q\n", a[2], filepath.Join(d.c.Dir, "wishes")))
-	return err
+	return p, ops, d.c.WaitReady(ops, p)
 }
 
-// config writes a platform's file.
-func (d *deployment) config(name, listen, ops, runtime string) (string, error) {
-	return d.c.WriteJSON(strings.ReplaceAll(name+"-"+ops+".json", ":", "-"), map[string]any{"name": name, "listen": listen, "ops": ops, "runtime": runtime,
-		"seed": "8c1f30d27a5be964", "stop_ms": 4000, "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
-		"settings": rig2.Settings(2000, rig2.Class("book", "dedup", 1000, deadlineMS, 51858))})
+// replace starts the new process, waits until it takes clients, and stops the old one.
+func (d deployment) replace(old *rig2.Process) error {
+	if _, _, err := d.start("new"); err != nil {
+		return err
+	}
+	old.Signal(syscall.SIGTERM)
+	if !old.WaitEnd(killAfter) {
+		old.Kill()
+	}
+	return nil
 }
 
-// start starts a process of the node, with an address for operators and one of the runtime of its own.
-func (d *deployment) start(name string) (*rig2.Process, error) {
-	runtime, err := d.c.StartRuntime(func(string) time.Duration { return 20 * time.Millisecond })
+// health makes a health check on a connection of its own.
+func (d deployment) health() (string, error) {
+	b, err := d.c.Connect("health check", d.listen)
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	ops, err := rig2.FreeAddress()
-	if err != nil {
-		return nil, err
+	defer b.Close()
+	return b.Ping()
+}
+
+// check asks the node's health until the end of the case.
+func (d deployment) check(calledAt time.Time) error {
+	good, checks := 0, 0
+	for time.Since(calledAt) < asked {
+		word, err := d.health()
+		if since := time.Since(calledAt); err == nil && since > allowed {
+			checks++
+			if word == "GREEN" {
+				good++
+			}
+		}
+		time.Sleep(between)
 	}
-	config, err := d.config("n3", d.listen, ops, runtime.Address)
-	if err != nil {
-		return nil, err
+	if checks == 0 {
+		return fmt.Errorf("no health check was answered")
 	}
-	p, err := d.c.StartDaemon(rig2.Daemon{Name: name, Config: config, Deploy: d.deploy, Accept: d.listener,
-		Env: []string{"GW_OPS=" + ops, "TMPDIR=" + d.c.Dir}})
-	if err != nil {
-		return nil, err
+	if good > 0 {
+		d.c.Broken("%d of %d health checks later than %v after evacuate were good; activate was never called", good, checks, allowed)
 	}
-	return p, d.c.WaitReady(ops, p)
+	return nil
 }
