--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,101 +1,161 @@
-// Command 7 sends a node a configuration file that lacks a key, and then stops the node as the platform does.
+// Command 7 stores a disruption budget that sets no bound, and lets operators drain a node.
 package main
 
 import (
 	"fmt"
-	"syscall"
+	"path/filepath"
 	"time"
 
 	"sloehitch/review/rig2"
 )
 
 const (
-	stopMS   = 1500 // from SIGTERM to SIGKILL
-	requests = 8
+	nodes    = 3
+	requests = 4 // to each node, in hand as the drain is requested
+	runTime  = 6 * time.Second
+	playFor  = 15 * time.Second
+)
+
+// Versions of the budgets: one that any budget has to look like, and one that lacks its bound.
+const (
+	valid   = `[{"group":"zone","most_out":1}]`
+	invalid = `[{"group":"zone"}]`
 )
 
 func main() { rig2.Main(play) }
 
+// node is a node of the fleet.
+type node struct {
+	name    string
+	listen  string
+	process *rig2.Process
+	client  *rig2.Balancer
+	tags    []string
+}
+
 func play(c *rig2.Case) error {
-	runtime, err := c.StartRuntime(func(string) time.Duration { return 4 * time.Second })
+	admin, err := startStore(c)
 	if err != nil {
 		return err
 	}
-	directory, err := c.StartDirectory()
-	if err != nil {
-		return err
+	var fleet []*node
+	for i := range nodes {
+		n, err := startNode(c, fmt.Sprint("n", i+1), admin)
+		if err != nil {
+			return err
+		}
+		fleet = append(fleet, n)
 	}
-	addresses, err := rig2.FreeAddresses(2)
-	if err != nil {
-		return err
+	time.Sleep(3 * time.Second) // the nodes have reported
+	budget := valid
+	if c.Trouble {
+		budget = invalid
 	}
-	config := map[string]any{"name": "n3", "listen": addresses[0], "ops": addresses[1], "runtime": runtime.Address, "lookup": directory,
-		"seed": "8c1f30d27a5be964", "stop_ms": stopMS, "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
-		"settings": rig2.Settings(500, rig2.Class("slot-search", "retryable", 4300, 17000, 5000), rig2.Class("book", "dedup", 6500, 17000, 51858))}
-	path, err := c.WriteJSON("config.json", config)
-	if err != nil {
-		return err
+	by := []string{"--by", "operators", "--why", "review"}
+	if _, err := c.Command(append([]string{"fleet", "--admin", admin, "put", "budget", budget, "--version", "0"}, by...)...); err != nil {
+		c.Note("the budget was turned down")
 	}
-	node, err := c.StartDaemon(rig2.Daemon{Name: "n3", Config: path})
-	if err != nil {
+	if err := send(c, fleet); err != nil {
 		return err
 	}
-	if err := c.WaitReady(addresses[1], node); err != nil {
+	if _, err := c.Command(append([]string{"fleet", "--admin", admin, "drain", "n1"}, by...)...); err != nil {
 		return err
 	}
-	time.Sleep(1500 * time.Millisecond) // no configuration comes in the first second of service
-	if err := announce(c, node, config, addresses[1]); err != nil {
-		return err
+	time.Sleep(playFor)
+	for _, n := range fleet {
+		check(c, n)
 	}
-	return stop(c, node, runtime, addresses[0])
+	return nil
 }
 
-// announce replaces the configuration file and sends SIGHUP. With the disruption the new file lacks a key of the running one.
-func announce(c *rig2.Case, node *rig2.Process, config map[string]any, ops string) error {
-	if c.Trouble {
-		delete(config, "stop_ms")
-		c.Note("platform: the new file lacks the key stop_ms")
+// startStore starts a node that keeps the store, and returns its address for operators.
+func startStore(c *rig2.Case) (string, error) {
+	a, err := rig2.FreeAddresses(3)
+	if err != nil {
+		return "", err
 	}
-	if _, err := c.WriteJSON("config.json", config); err != nil {
-		return err
+	runtime, err := c.StartRuntime(func(string) time.Duration { return runTime })
+	if err != nil {
+		return "", err
+	}
+	config, err := writeConfig(c, "n0", a[0], a[1], runtime.Address)
+	if err != nil {
+		return "", err
+	}
+	deploy, err := c.WriteFile("n0.toml", fmt.Sprintf("[store]\nadmin = %q\ndir = %q\nlease = \"2s\"\n", a[2], filepath.Join(c.Dir, "store")))
+	if err != nil {
+		return "", err
+	}
+	p, err := c.StartDaemon(rig2.Daemon{Name: "n0", Config: config, Deploy: deploy})
+	if err != nil {
+		return "", err
 	}
-	node.Signal(syscall.SIGHUP)
-	time.Sleep(500 * time.Millisecond)
-	figures, err := c.Ops(ops, "telemetry")
-	c.Note("operators: telemetry says %q", figures)
-	return err
+	return a[2], c.WaitReady(a[1], p)
 }
 
-// stop sends requests, stops the node while they run, and checks that each was answered before the kill.
-func stop(c *rig2.Case, node *rig2.Process, runtime *rig2.Runtime, listen string) error {
-	balancer, err := c.Connect("balancer 1", listen)
+func writeConfig(c *rig2.Case, name, listen, ops, runtime string) (string, error) {
+	return c.WriteJSON(name+".json", map[string]any{"name": name, "listen": listen, "ops": ops, "runtime": runtime, "seed": "8c1f30d27a5be964",
+		"stop_ms": 3200, "limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
+		"settings": rig2.Settings(2000, rig2.Class("slot-search", "retryable", 10000, 17000, 5000))})
+}
+
+// startNode starts a node of the fleet with a runtime.
+func startNode(c *rig2.Case, name, admin string) (*node, error) {
+	runtime, err := c.StartRuntime(func(string) time.Duration { return runTime })
 	if err != nil {
-		return err
+		return nil, err
 	}
-	var tags []string
-	for i := range requests {
-		tag, err := balancer.Do("slot-search", fmt.Sprintf("9b1f03aa5c7e%04x", i), fmt.Sprint("search ", i))
-		if err != nil {
-			return err
-		}
-		tags = append(tags, tag)
+	a, err := rig2.FreeAddresses(2)
+	if err != nil {
+		return nil, err
 	}
-	if err := rig2.WaitFor("runs have begun", 5*time.Second, func() bool { return len(runtime.Starts()) > 0 }); err != nil {
-		return err
+	config, err := writeConfig(c, name, a[0], a[1], runtime.Address)
+	if err != nil {
+		return nil, err
 	}
-	time.Sleep(300 * time.Millisecond)
-	node.Signal(syscall.SIGTERM)
-	if !node.WaitEnd(stopMS * time.Millisecond) {
-		node.Kill()
-	}
-	time.Sleep(300 * time.Millisecond) // what was written before the kill is still read
-	for _, tag := range tags {
-		switch n := len(balancer.Answers(tag)); {
-		case n == 0:
-			c.Broken("request %s was read before the notice to leave and had no answer when the process was stopped", tag)
-		case n > 1:
-			c.Broken("request %s was answered %d times", tag, n)
+	deploy, err := c.WriteFile(name+".toml", fmt.Sprintf(
+		"[fleet]\nmembers = [%q]\nzone = \"a\"\nlease = \"2s\"\nreport = \"500ms\"\nsilent = \"5s\"\nsettle = \"1s\"\n", admin))
+	if err != nil {
+		return nil, err
+	}
+	n := &node{name: name, listen: a[0]}
+	if n.process, err = c.StartDaemon(rig2.Daemon{Name: name, Config: config, Deploy: deploy}); err != nil {
+		return nil, err
+	}
+	if err := c.WaitReady(a[1], n.process); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// send sends the requests that are in hand as the drain is requested.
+func send(c *rig2.Case, fleet []*node) (err error) {
+	for i, n := range fleet {
+		if n.client, err = c.Connect("balancer of "+n.name, n.listen); err != nil {
+			return err
+		}
+		for j := range requests {
+			tag, err := n.client.Do("slot-search", fmt.Sprintf("9b1f03aa5c7e%02x%02x", i, j), fmt.Sprint("search ", j))
+			if err != nil {
+				return err
+			}
+			n.tags = append(n.tags, tag)
 		}
 	}
 	return nil
 }
+
+// check checks that a node has not ended and has answered its requests.
+func check(c *rig2.Case, n *node) {
+	lost := 0
+	for _, tag := range n.tags {
+		if len(n.client.Answers(tag)) == 0 {
+			lost++
+		}
+	}
+	if n.process.Ended() {
+		c.Broken("%s has crashed; %d of its %d requests in hand had no answer", n.name, lost, len(n.tags))
+	} else if lost > 0 {
+		c.Broken("%s: %d of %d requests had no answer", n.name, lost, len(n.tags))
+	}
+}
--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -175,10 +175,14 @@
 	return strings.TrimSpace(string(answer)), err
 }
 
-// WaitReady waits until the process takes clients.
+// WaitReady waits until the process takes clients. It returns an error if the process ends before.
 func (c *Case) WaitReady(ops string, p *Process) error {
-	return WaitFor("readyz says yes", 20*time.Second, func() bool {
+	err := WaitFor("readyz says yes", 20*time.Second, func() bool {
 		answer, err := c.Ops(ops, "readyz")
 		return p.Ended() || err == nil && strings.HasPrefix(answer, "ACK")
 	})
+	if p.Ended() {
+		return fmt.Errorf("%s ended as it started", p.name)
+	}
+	return err
 }
--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -6,11 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -46,10 +49,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	played := make(chan error, 1)
+	played, stopped := make(chan error, 1), make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	go func() { played <- play(c) }()
 	select {
 	case err = <-played:
+	case s := <-stopped:
+		err = fmt.Errorf("stopped by signal %v", s)
 	case <-time.After(Limit):
 		err = errors.New("the case took too long")
 	}
@@ -116,14 +122,22 @@
 	c.breaches = append(c.breaches, text)
 }
 
+// Ports for the daemons' listeners. They lie below those that Linux gives to connections, so that no connection takes one
+// between its choice and its use.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
 // FreeAddress returns a loopback address with a free port.
 func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		ln, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstPort+rand.IntN(lastPort-firstPort)))
+		if err == nil {
+			return ln.Addr().String(), ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port found")
 }
 
 // FreeAddresses returns n of them.
--- a/review/rig2/uwsgi.go
+++ b/review/rig2/uwsgi.go
@@ -37,10 +37,12 @@
 // UwsgiServer plays a uwsgi server below the node. It answers each request with 200 and "done PATH KEY".
 type UwsgiServer struct {
 	Address string
+	Took    time.Duration // of each run
 
 	c    *Case
 	mu   sync.Mutex
 	runs []UwsgiRun
+	open map[net.Conn]bool // connections with a run that has not ended
 }
 
 // StartUwsgiServer starts a server.
@@ -49,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &UwsgiServer{Address: ln.Addr().String(), c: c}
+	s := &UwsgiServer{Address: ln.Addr().String(), c: c, open: map[net.Conn]bool{}}
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -77,7 +79,11 @@
 	run := UwsgiRun{Path: vars["PATH_INFO"], Key: vars["HTTP_IDEMPOTENCY_KEY"], Body: string(body)}
 	s.c.Note("uwsgi server: runs %s %s, key %s, body %q", vars["REQUEST_METHOD"], run.Path, run.Key, run.Body)
 	s.mu.Lock()
-	s.runs = append(s.runs, run)
+	s.runs, s.open[conn] = append(s.runs, run), true
+	s.mu.Unlock()
+	time.Sleep(s.Took)
+	s.mu.Lock()
+	delete(s.open, conn)
 	s.mu.Unlock()
 	text := "done " + run.Path + " " + run.Key
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
@@ -114,6 +120,23 @@
 	return append([]UwsgiRun(nil), s.runs...)
 }
 
+// Open returns the number of runs that have not ended.
+func (s *UwsgiServer) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Stop ends the server's open connections, as the end of its process does.
+func (s *UwsgiServer) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.c.Note("uwsgi server %s stops with %d open runs", s.Address, len(s.open))
+	for conn := range s.open {
+		conn.Close()
+	}
+}
+
 // Response is what a uwsgi client read until the end of its connection.
 type Response struct {
 	Status int // 0: no whole response
