--- a/review/6/main.go
+++ b/review/6/main.go
@@ -159,11 +159,18 @@
 	return m, err
 }
 
+// start starts the member's process and waits until it takes clients. A process that ends at once is started again.
 func (m *member) start() (err error) {
-	if m.process, err = m.c.StartDaemon(rig2.Daemon{Name: m.name, Config: m.config, Deploy: m.toml}); err != nil {
-		return err
+	for range 3 {
+		if m.process, err = m.c.StartDaemon(rig2.Daemon{Name: m.name, Config: m.config, Deploy: m.toml}); err != nil {
+			return err
+		}
+		if err = m.c.WaitReady(m.ops, m.process); err == nil {
+			return nil
+		}
+		time.Sleep(pollEvery)
 	}
-	return m.c.WaitReady(m.ops, m.process)
+	return err
 }
 
 // fleet makes an operators' call at the member.
--- a/review/rig2/balancer.go
+++ b/review/rig2/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,8 +26,6 @@
 	mu      sync.Mutex
 	lastTag int
 	answers map[string][]Answer
-	closing bool // the node sent 0 FIN
-	ended   error
 }
 
 // Connect connects a balancer.
@@ -69,34 +66,18 @@
 	return tag, err
 }
 
-// Ping makes a health check and returns the word of its answer.
-func (b *Balancer) Ping() (string, error) {
-	tag := b.nextTag()
-	if _, err := io.WriteString(b.conn, array("PING", tag, "")); err != nil {
-		return "", err
-	}
-	var word string
-	err := WaitFor("an answer to a health check", time.Second, func() bool {
-		if a := b.Answers(tag); len(a) > 0 {
-			word = a[0].Word
-		}
-		return word != "" || b.Ended() != nil
-	})
-	return word, errors.Join(err, b.Ended())
-}
-
 // read collects answers until the connection ends.
 func (b *Balancer) read() {
 	in := bufio.NewReader(b.conn)
 	for {
 		parts, err := readArray(in)
+		if err != nil {
+			b.c.Note("%s: the connection ended: %v", b.name, err)
+			return
+		}
+		b.c.Note("%s: answer %q", b.name, parts)
 		b.mu.Lock()
-		switch {
-		case err != nil:
-			b.ended = err
-		case len(parts) >= 2 && parts[0] == "0":
-			b.closing = true
-		case len(parts) >= 2:
+		if len(parts) >= 2 { // 0 FIN has no tag of a request
 			a := Answer{Tag: parts[0], Word: parts[1], At: time.Now()}
 			if len(parts) == 4 {
 				a.Fields, a.Body = parts[2], parts[3]
@@ -104,11 +85,6 @@
 			b.answers[a.Tag] = append(b.answers[a.Tag], a)
 		}
 		b.mu.Unlock()
-		if err != nil {
-			b.c.Note("%s: the connection ended: %v", b.name, err)
-			return
-		}
-		b.c.Note("%s: answer %q", b.name, parts)
 	}
 }
 
@@ -149,20 +125,3 @@
 	defer b.mu.Unlock()
 	return append([]Answer(nil), b.answers[tag]...)
 }
-
-// Ended returns the error with which the connection ended; nil: it is open.
-func (b *Balancer) Ended() error {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.ended
-}
-
-// Closing reports whether the node asked to close the connection.
-func (b *Balancer) Closing() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.closing
-}
-
-// Close closes the connection.
-func (b *Balancer) Close() { b.conn.Close() }
--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -70,12 +70,13 @@
 
 // start starts a process whose log goes to a file.
 func (c *Case) start(name string, command *exec.Cmd) (*Process, error) {
-	p := &Process{name: name, c: c, command: command, log: filepath.Join(c.Dir, name+".log"), ended: make(chan struct{})}
-	log, err := os.Create(p.log)
+	p := &Process{name: name, c: c, command: command, ended: make(chan struct{})}
+	log, err := os.CreateTemp(c.Dir, name+"-*.log") // a process of the same name may be started again
 	if err != nil {
 		return nil, err
 	}
 	defer log.Close()
+	p.log = log.Name()
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return nil, err
