Fail repeats of run bookings that the uwsgi front can't submit, not reject them

Cause: the front answered 503 by itself for a request whose connection was evicted after it had arrived, and for one beyond the budget for bodies, without asking the core for its key. The platform's front asks.

The budget for bodies is a second way, found by reading and shown by the test.

Both answers come from Node.RejectionStatusOf now: 502 where a request with the key may have run, 503 otherwise.

--- a/internal/frontend/uwsgi/clientconn_test.go
+++ b/internal/frontend/uwsgi/clientconn_test.go
@@ -27,38 +27,70 @@
 		{"no data", "", ""},
 	} {
 		r := newHarness(t, nil, func(o *Options, p *PoolOptions) { o.Limits.MessageTimeout = standin.WaitTimeout })
-		ln := standin.Listen(t)
-		client, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer client.Close()
-		accepted, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn := &clientConn{Conn: accepted}
-		slot := r.slots.Acquire(conn.evict)
-		if _, err := io.WriteString(client, c.sent); err != nil {
-			t.Fatal(err)
+		got, err := requestOnEvictedConnection(t, r, c.sent)
+		if c.want != "" && err != nil || !strings.HasPrefix(got, c.want) || c.want == "" && len(got) > 0 {
+			t.Errorf("%s: %q, %v, want %q", c.name, got, err, c.want)
 		}
-		slot.Release()
-		conn.evict()
-		served := make(chan struct{})
-		go func() {
-			defer close(served)
-			defer accepted.Close()
-			r.serveConnection(conn, slot, "")
-		}()
-		if err := client.SetReadDeadline(time.Now().Add(standin.WaitTimeout)); err != nil {
-			t.Fatal(err)
+	}
+}
+
+// requestOnEvictedConnection sends data on a connection that is evicted before it is read. It returns everything that the client
+// receives, and the error that ended the connection.
+func requestOnEvictedConnection(t *testing.T, r *harness, sent string) (string, error) {
+	t.Helper()
+	ln := standin.Listen(t)
+	client, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	accepted, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := &clientConn{Conn: accepted}
+	slot := r.slots.Acquire(conn.evict)
+	if _, err := io.WriteString(client, sent); err != nil {
+		t.Fatal(err)
+	}
+	slot.Release()
+	conn.evict()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		defer accepted.Close()
+		r.serveConnection(conn, slot, "")
+	}()
+	defer func() { <-served }()
+	if err := client.SetReadDeadline(time.Now().Add(standin.WaitTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	got, err := io.ReadAll(client)
+	client.Close()
+	return string(got), err
+}
+
+// TestUnsubmittedRepeatOfRunKeyIsFailedNotRejected guards against turning away a repeat of a booking that has run: 503 promises
+// that it never ran, and its caller would take it to another node.
+func TestUnsubmittedRepeatOfRunKeyIsFailedNotRejected(t *testing.T) {
+	const body = "0123456789"
+	booking := func(key string) string {
+		return standin.Packet(t, body, requestVars("/book", contentLength(len(body)), [2]string{"HTTP_IDEMPOTENCY_KEY", key})...)
+	}
+	s := standin.NewScripted(t, replyAfter(body, okResponse))
+	r := newHarness(t, []string{s.Address}, func(o *Options, _ *PoolOptions) { o.Limits.TotalBodyWindowBytes = 2*len(body) - 1 })
+	if got, err := r.request(t, standin.Script{{Send: booking("ran")}}); got != okResponse || err != nil {
+		t.Fatalf("first attempt got %q, %v", got, err)
+	}
+	for _, c := range []struct{ key, want string }{{"ran", "HTTP/1.1 502 "}, {"new", "HTTP/1.1 503 "}} {
+		if got, _ := requestOnEvictedConnection(t, r, booking(c.key)); !strings.HasPrefix(got, c.want) {
+			t.Errorf("evicted, key %s: got %q, want %s", c.key, got, c.want)
 		}
-		got, err := io.ReadAll(client)
-		if c.want != "" && err != nil || !strings.HasPrefix(string(got), c.want) || c.want == "" && len(got) > 0 {
-			t.Errorf("%s: %q, %v, want %q", c.name, got, err, c.want)
+		standin.WaitFor(t, "no body is reserved", func() bool { return r.reserveBody(len(body)) })
+		if got, err := r.request(t, standin.Script{{Send: booking(c.key)}}); !strings.HasPrefix(got, c.want) || err != nil {
+			t.Errorf("over the budget for bodies, key %s: got %q, %v, want %s", c.key, got, err, c.want)
 		}
-		client.Close()
-		<-served
+		r.reserveBody(-len(body))
 	}
 }
 
--- a/internal/frontend/uwsgi/front.go
+++ b/internal/frontend/uwsgi/front.go
@@ -27,6 +27,8 @@
 	Submit(q node.Request, reply func(node.Response))
 	Cancel(id string)
 	BeginResponse(id string) bool
+	// RejectionStatusOf returns the status for a request that can't be submitted.
+	RejectionStatusOf(q *node.Request) node.Status
 }
 
 // Mapper classifies a request by its variables. It sets the class, tenant, key and hints, and returns 0, or the HTTP status with
--- a/internal/frontend/uwsgi/reject.go
+++ b/internal/frontend/uwsgi/reject.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"time"
 
 	"sloehitch/internal/frontend/uwsgi/packet"
+	"sloehitch/internal/node"
 )
 
 // rejectInput responds to input that is not a valid request, counts it, and logs it at a limited rate.
@@ -42,9 +45,19 @@
 	f.rejectInput(conn, err)
 }
 
-// rejectEvicted responds to a request whose connection was evicted from its slot.
-func (f *Front) rejectEvicted(conn net.Conn) {
+// Reasons why a valid request is not submitted to the node.
+var (
+	errEvicted            = errors.New("its connection was evicted before the request was complete")
+	errBodyBudgetExceeded = errors.New("the bodies of open requests use their memory budget")
+)
+
+// rejectUnsubmitted responds to a valid request that can't be submitted for the given reason, and ends the connection. The core
+// chooses the status, as it knows whether an earlier attempt with the same idempotency key ran: 503 promises that none did.
+func (f *Front) rejectUnsubmitted(conn net.Conn, q *node.Request, reason error, closeTimeout time.Duration) {
 	f.count(func(n *Counts) { n.Crowded++ })
-	f.write(conn, statusResponse(http.StatusServiceUnavailable, f.opts.Limits.RejectedRetryAfter))
-	gracefulClose(conn, f.opts.Limits.CloseTimeout/evictedCloseDivisor)
+	status := f.opts.Core.RejectionStatusOf(q)
+	f.log.Warn("uwsgi request not submitted", fmt.Errorf("%w; keyed %t, may have run %t", reason, q.IdempotencyKey != "", status == node.StatusFailed))
+	if f.write(conn, responseBytes(node.Response{Status: status, RetryAfter: f.opts.Limits.RejectedRetryAfter})) {
+		gracefulClose(conn, closeTimeout)
+	}
 }
--- a/internal/frontend/uwsgi/serve.go
+++ b/internal/frontend/uwsgi/serve.go
@@ -39,17 +39,20 @@
 	if err != nil {
 		return
 	}
-	if !slot.SetState(connlimit.StateActive) { // the connection was evicted after its request had arrived
-		f.rejectEvicted(conn)
-		return
+	hasSlot := slot.SetState(connlimit.StateActive)
+	if hasSlot {
+		f.count(func(n *Counts) { n.Read++ })
 	}
-	f.count(func(n *Counts) { n.Read++ })
 	q := node.Request{Protocol: "uwsgi", Runner: f.opts.Pool, ArrivedAt: m.arrivedAt, CallerID: callerID(host), Tenant: -1,
 		AttemptTimeout: f.clientTimeout(m.vars)}
 	if status := f.opts.Mapper.Map(m.vars.Get, &q); status != 0 {
 		f.writeResponse(conn, nil, statusResponse(status, 0))
 		return
 	}
+	if !hasSlot { // the connection was evicted after its request had arrived
+		f.rejectUnsubmitted(conn, &q, errEvicted, f.opts.Limits.CloseTimeout/evictedCloseDivisor)
+		return
+	}
 	q.ID = f.nextRequestID()
 	f.serveRequest(conn, &m, &q)
 }
@@ -120,8 +123,7 @@
 		reserved = int(min(m.framing.Length, int64(reserved)))
 	}
 	if !f.reserveBody(reserved) { // rejected before the body is read
-		f.count(func(n *Counts) { n.Crowded++ })
-		f.writeResponse(conn, nil, statusResponse(http.StatusServiceUnavailable, lim.RejectedRetryAfter))
+		f.rejectUnsubmitted(conn, q, errBodyBudgetExceeded, lim.CloseTimeout)
 		return
 	}
 	defer f.reserveBody(-reserved)
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -87,11 +87,23 @@
 // RejectionStatus returns the status with which a front end must answer a request of the given class and key (empty:
 // none) that it can't submit: StatusFailed if a request with that key may have run, StatusRejected otherwise.
 func (n *Node) RejectionStatus(class, key string) Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rejectionStatus(class, key)
+}
+
+// RejectionStatusOf is RejectionStatus for a front end that knows its requests' classes by their indices.
+func (n *Node) RejectionStatusOf(q *Request) Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rejectionStatus(n.opts.Settings.Classes[q.Class].Name, q.IdempotencyKey)
+}
+
+// rejectionStatus implements RejectionStatus; the caller holds mu.
+func (n *Node) rejectionStatus(class, key string) Status {
 	if key == "" {
 		return StatusRejected
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if e := n.keys.entries[key]; e != nil && e.started && e.inWindow(n.opts.Clock.Now(), n.keys.slack) {
 		return StatusFailed
 	}
