Reject a file at SIGHUP that lacks any key of the running one

Cause: reconfigure.CheckFile compared the keys of "settings" only, while config.Parse fills in stop_ms (3 s), limits and empty addresses of links where the file has none.

Evidence: the log says stop=3s and the figures config_applied:1; with the complete file each request is answered before the kill.

CheckFile compares the whole files by path now, so no default can take the place of a value that the platform had set; null counts as missing.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -76,13 +76,13 @@
 // merged settings in p (package reconfigure). It returns an error and changes nothing if the file is rejected.
 func (d *Daemon) reconfigure(p *config.Platform) error {
 	old := d.platform
+	if err := reconfigure.CheckFile(p.Text, flatten(old.Text), flatten(p.Text)); err != nil {
+		return err
+	}
 	if bytes.Equal(p.RawSettings, old.RawSettings) {
 		p.Logic, p.Names = old.Logic, old.Names
 		return nil
 	}
-	if err := reconfigure.CheckFile(p.RawSettings, flatten(old.RawSettings), flatten(p.RawSettings)); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
 	plan, err := reconfigure.Merge(old.Logic, p.Logic)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -104,10 +104,10 @@
 	return nil
 }
 
-// flatten returns the settings object by path; nil if raw is not an object, which the parser of the file has already rejected.
-func flatten(raw json.RawMessage) map[string]string {
+// flatten returns the values of a file by path; nil if it is not an object, which the parser has already rejected.
+func flatten(text []byte) map[string]string {
 	var object map[string]any
-	if json.Unmarshal(raw, &object) != nil {
+	if json.Unmarshal(text, &object) != nil {
 		return nil
 	}
 	return settings.Flatten(object)
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"encoding/json"
+	"maps"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/store"
 	"sloehitch/internal/testing/standin"
@@ -101,3 +103,49 @@
 		t.Errorf("the report lacks the classes %v", want)
 	}
 }
+
+// TestReloadRejectsFileThatLacksAnyKey guards against applying a file that lacks one key of the running one: the key's default took
+// the place of the platform's value, so a node took longer to shut down than the platform let it live, and lost its requests.
+func TestReloadRejectsFileThatLacksAnyKey(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	s := serveNode(t, longDeadline, rt)
+	text := strings.Replace(standin.Config(s.address, rt.Address, "127.0.0.1:1", longDeadline), `"stop_ms":3000`, `"stop_ms":1500,"lookup":"127.0.0.1:2"`, 1)
+	apply := func(text []byte) {
+		s.load = func() (*Config, error) {
+			p, err := config.Parse(text)
+			if err != nil {
+				return nil, err
+			}
+			return &Config{Platform: p, Deploy: &config.Deploy{}}, nil
+		}
+		s.reload()
+	}
+	apply([]byte(text))
+	running := s.platform
+	var file map[string]any
+	if err := json.Unmarshal([]byte(text), &file); err != nil {
+		t.Fatal(err)
+	}
+	rejected := 0
+	for _, object := range []map[string]any{file, file["limits"].(map[string]any)} {
+		for key, value := range maps.Clone(object) {
+			for _, absent := range []bool{true, false} { // a key without a value is as good as none
+				if object[key] = nil; absent {
+					delete(object, key)
+				}
+				changed, err := json.Marshal(file)
+				if err != nil {
+					t.Fatal(err)
+				}
+				apply(changed)
+				if rejected++; s.platform != running || int(s.counts.rejected.Load()) != rejected || s.counts.applied.Load() != 1 {
+					t.Fatalf("a file was applied in which %s is absent (%t) or null", key, absent)
+				}
+			}
+			object[key] = value
+		}
+	}
+	if apply([]byte(text)); s.counts.applied.Load() != 2 {
+		t.Error("the complete file was not applied after the others")
+	}
+}
--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -34,6 +34,7 @@
 	Limits          Limits          `json:"limits"`
 	RawSettings     json.RawMessage `json:"settings"`
 
+	Text  []byte              `json:"-"` // the file that this configuration was parsed from
 	Logic logic.Settings      `json:"-"`
 	Names *settings.NameIndex `json:"-"`
 }
@@ -53,7 +54,7 @@
 
 // Parse reads and checks a configuration.
 func Parse(text []byte) (*Platform, error) {
-	p := &Platform{StopMS: 3000, Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
+	p := &Platform{Text: text, StopMS: 3000, Limits: Limits{Cores: 1, MemoryMB: 192, Sockets: 1024}}
 	if err := json.Unmarshal(text, p); err != nil {
 		var typeError *json.UnmarshalTypeError
 		if errors.As(err, &typeError) && typeError.Field != "" {
--- a/internal/platform/reconfigure/keys.go
+++ b/internal/platform/reconfigure/keys.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// MissingKeys returns the keys that the running settings have and the new ones lack, sorted. Both are settings by
-// path, as settings.Flatten returns them ("classes.0.hard-limit"). A key of list items, such as a class's
+// MissingKeys returns the keys that the running file has and the new one lacks, sorted. Both are values by path, as
+// settings.Flatten returns them ("settings.classes.0.hard-limit"). A key of list items, such as a class's
 // "hard-limit", is required on every item of the new list if every item of the running list has it.
 func MissingKeys(running, next map[string]string) []string {
 	var missing []string
--- a/internal/platform/reconfigure/reconfigure.go
+++ b/internal/platform/reconfigure/reconfigure.go
@@ -1,8 +1,9 @@
 // Package reconfigure decides which new settings are applied at SIGHUP while requests are in flight, and merges the
 // new classes with the running ones. It does no I/O and reads no clock.
 //
-// A file is rejected as a whole if it is empty or lacks a key that the running settings have. A truncated file or an
-// invalid value is rejected earlier, by the parser (package settings, logic.New).
+// A file is rejected as a whole if it is empty or lacks a key that the running file has, inside or outside its settings:
+// the default of a missing key would take the place of a value that the platform had set. A truncated file or an
+// invalid value is rejected earlier, by the parsers (packages config and settings, logic.New).
 package reconfigure
 
 import (
@@ -24,8 +25,8 @@
 // errEmptyFile is returned for a file that is empty or contains only white space.
 var errEmptyFile = errors.New("the file is empty")
 
-// CheckFile returns an error if a file is empty or lacks a key that the running settings have. text is the content of
-// the file; running and next are settings by path, as settings.Flatten returns them.
+// CheckFile returns an error if a file is empty or lacks a key that the running file has. text is the content of the
+// file; running and next are the values of both files by path, as settings.Flatten returns them.
 func CheckFile(text []byte, running, next map[string]string) error {
 	if len(strings.TrimSpace(string(text))) == 0 {
 		return errEmptyFile
