Keep the servers of a serving uwsgi front when SIGHUP finds no uwsgi section

Callers would have seen 502 for every uwsgi request: with an empty deployment file at SIGHUP the front went on, since turning it off takes a restart, but its list of servers was taken for empty.

The running section stays in force until the restart.

Measured: TestReloadWithoutUwsgiSectionKeepsServers fails before (502 twice) and passes.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -38,13 +38,24 @@
 	}
 	d.directory.SetAddress(p.Directory)
 	d.platform = p
-	d.deploy.Store(next.Deploy)
+	d.deploy.Store(keepUwsgiSection(next.Deploy, d.deploy.Load()))
 	if d.upstreams.pool != nil {
 		d.applyStoredValue(store.KeyUwsgiServers, d.store.Get(store.KeyUwsgiServers))
 	}
 	d.log.Info("configuration applied", "runtime", p.Runtime, "catalogue", p.Catalogue, "directory", p.Directory)
 }
 
+// keepUwsgiSection returns next with the running uwsgi section if next has none: a restart turns the front off, and until then it
+// needs its servers.
+func keepUwsgiSection(next, running *config.Deploy) *config.Deploy {
+	if next.Uwsgi.Listen != "" {
+		return next
+	}
+	kept := *next
+	kept.Uwsgi = running.Uwsgi
+	return &kept
+}
+
 // warnRestartRequired logs the changes in a new configuration that are not applied until a restart.
 func (d *Daemon) warnRestartRequired(next *Config) {
 	p, old := next.Platform, d.platform
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -149,3 +149,18 @@
 		t.Error("the complete file was not applied after the others")
 	}
 }
+
+// TestReloadWithoutUwsgiSectionKeepsServers guards against a uwsgi front without servers after SIGHUP with an empty deployment file:
+// turning the front off takes a restart, and until then it serves.
+func TestReloadWithoutUwsgiSectionKeepsServers(t *testing.T) {
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	server := standin.NewServer(t, func(string) string { return "HTTP/1.1 200 OK\r\n\r\nserved" }).Address
+	s := serveNode(t, longDeadline, rt, server)
+	for range 2 {
+		s.load = func() (*Config, error) { return &Config{Platform: s.platform, Deploy: &config.Deploy{}}, nil }
+		s.reload()
+		if got := sendUwsgi(t, s.uwsgi, "", getVars("/slots")...); !strings.HasSuffix(got, "served") {
+			t.Errorf("response after a reload without the section: %q", got)
+		}
+	}
+}
