Reject invalid disruption budgets, and permit nothing by a stored one

The store acknowledged the document from "fleet put", DecodeView took it over, and allowedUnavailable dereferenced a bound that was not set.

Decode validates too: budgets stored before count as none, and without budgets nothing is permitted.

--- a/internal/control/fleetstate/documents.go
+++ b/internal/control/fleetstate/documents.go
@@ -102,18 +102,34 @@
 // errTrailingData is returned for a document of more than one value.
 var errTrailingData = errors.New("cannot decode the document: it has more than one JSON value")
 
-// Decode decodes the value of a document. It returns an error for unknown fields, because ignoring them would
-// change the meaning of the document.
+// Decode decodes and validates the value of a document. It returns an error for unknown fields, because ignoring them
+// would change the meaning of the document, and the zero value with every error.
 func Decode[T DrainRequest | Permit | disruption.Budgets](text string) (value T, err error) {
+	var decoded T
 	d := json.NewDecoder(strings.NewReader(text))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&value); err != nil {
+	if err := d.Decode(&decoded); err != nil {
 		return value, fmt.Errorf("cannot decode the document: %w", err)
 	}
 	if d.More() {
 		return value, errTrailingData
 	}
-	return value, nil
+	if v, ok := any(decoded).(interface{ Validate() error }); ok {
+		if err := v.Validate(); err != nil {
+			return value, fmt.Errorf("invalid document: %w", err)
+		}
+	}
+	return decoded, nil
+}
+
+// CheckDocument returns an error if a document must not be stored under its key. The store calls it before it commits a
+// change, so that a version on which no decision can be based never takes the place of a valid one.
+func CheckDocument(key, value string) error {
+	if key != BudgetsKey {
+		return nil
+	}
+	_, err := Decode[disruption.Budgets](value)
+	return err
 }
 
 // Encode returns the value of a document. It panics on values that JSON cannot represent, which the documents of
--- a/internal/control/fleetstate/documents_test.go
+++ b/internal/control/fleetstate/documents_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"sloehitch/internal/control/disruption"
 	"sloehitch/internal/store/document"
 )
 
@@ -39,6 +40,28 @@
 	}
 }
 
+// TestInvalidBudgetsAreRejectedAndIgnored guards against a budget without a bound, which ended each node that decided on drains: it
+// is neither accepted for storage nor used if it is stored, and without budgets nothing is permitted.
+func TestInvalidBudgetsAreRejectedAndIgnored(t *testing.T) {
+	for _, value := range []string{`[{"group":"zone"}]`, `[{"group":"zone","most_out":1,"least_in":1}]`, `[{"group":"zone","most_out":-1}]`,
+		`[{"group":"fleet","most_out_share":1.5}]`, `[{"group":"moon","most_out":1}]`, `[null]`, `{}`, `[{"group":"zone","most_out":1}] []`} {
+		if err := CheckDocument(BudgetsKey, value); err == nil {
+			t.Errorf("%s is accepted", value)
+		}
+		view, _, err := DecodeView([]document.Document{{Key: BudgetsKey, Value: value, Version: 1}}, DefaultDecoder, 0)
+		if err == nil || len(view.Budgets) > 0 {
+			t.Errorf("%s: budgets %v, error %v; want none and an error", value, view.Budgets, err)
+		}
+		view.Members = []ObservedMember{{Name: "n1", Report: NodeReport{Zone: "a"}}, {Name: "n2", Report: NodeReport{Zone: "a"}}}
+		if granted := disruption.Decide(view.Budgets, view.BudgetMembers(0), []disruption.Request{{Member: "n1"}}); len(granted.Granted) > 0 {
+			t.Errorf("%s: granted %+v", value, granted)
+		}
+	}
+	if err := CheckDocument(BudgetsKey, `[{"group":"zone","most_out":1}]`); err != nil {
+		t.Errorf("a valid budget is rejected: %v", err)
+	}
+}
+
 // TestDecodeViewCountsUndecodablePermitAsOut: a permit that cannot be decoded counts as out of service. Other
 // documents that cannot be decoded are omitted. The error names all of them.
 func TestDecodeViewCountsUndecodablePermitAsOut(t *testing.T) {
--- a/internal/control/fleetstate/view.go
+++ b/internal/control/fleetstate/view.go
@@ -65,8 +65,8 @@
 }
 
 // DecodeView returns the view of all documents, without its members, and the documents' versions. It omits
-// documents that cannot be decoded, and returns an error that names them. A permit that cannot be decoded counts
-// as out of service.
+// documents that cannot be decoded or are invalid, and returns an error that names them. A permit that cannot be
+// decoded counts as out of service; without the budgets, no permit is granted.
 func DecodeView(docs []document.Document, decoder Decoder, nowMS int64) (View, Versions, error) {
 	v := View{Requests: map[string]DrainRequest{}, RequestOrder: map[string]uint64{}, Permits: map[string]Permit{},
 		Halted: map[string]bool{}, NowMS: nowMS}
--- a/internal/daemon/store.go
+++ b/internal/daemon/store.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 
+	"sloehitch/internal/control/fleetstate"
 	"sloehitch/internal/control/lease"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/store"
@@ -21,7 +22,7 @@
 	}
 	d.store, err = store.Open(store.Options{Name: d.platform.Name, Members: settings.Members, Dir: settings.Dir, CommitTimeout: d.limits.CommitTimeout,
 		ElectionTimeout: d.limits.ElectionTimeout, AwaitDir: listenerInherited(), Logger: d.log, LeaseTerms: store.DefaultLeaseTerms.WithDuration(duration), Join: settings.Join,
-		Clock: d.faultHooks.Clock(lease.Now), WrapFS: d.faultHooks.Disk, OnEvent: d.faultHooks.Record})
+		CheckDocument: fleetstate.CheckDocument, Clock: d.faultHooks.Clock(lease.Now), WrapFS: d.faultHooks.Disk, OnEvent: d.faultHooks.Record})
 	if err != nil {
 		return err
 	}
--- a/internal/store/documents_test.go
+++ b/internal/store/documents_test.go
@@ -155,3 +155,32 @@
 		t.Errorf("%+v, want the change after the requested revision", got)
 	}
 }
+
+// TestInvalidDocumentIsRejected guards against the acknowledgement of a document on which nodes can't act: the reason is reported, and
+// the last valid version stays in force.
+func TestInvalidDocumentIsRejected(t *testing.T) {
+	s := openStandalone(t, "", func(o *Options) {
+		o.CheckDocument = func(key, value string) error {
+			if key == "budget" && value != "valid" {
+				return errors.New("no bound is set")
+			}
+			return nil
+		}
+	})
+	if _, err := s.Commit(tx("1", "budget", "valid")); err != nil {
+		t.Fatal(err)
+	}
+	invalid := tx("2", "budget", "invalid")
+	invalid.Operations = append(invalid.Operations, document.Operation{Key: "other", Value: "1"})
+	if _, err := s.Commit(invalid); !errors.Is(err, ErrChangeRejected) || !strings.Contains(err.Error(), "no bound is set") {
+		t.Errorf("error %v, want a rejection with the reason", err)
+	}
+	if got, _, err := s.Documents("", true); err != nil || len(got) != 1 || got[0].Value != "valid" {
+		t.Errorf("documents %+v, %v; want the valid one alone", got, err)
+	}
+	deletion := tx("3", "budget", "")
+	deletion.Operations[0].Delete = true
+	if _, err := s.Commit(deletion); err != nil {
+		t.Errorf("deletion: %v", err)
+	}
+}
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -25,8 +25,8 @@
 var errLeaseInTransaction = errors.New("do: a transaction can't change a lease; request leases at /duties/{duty}")
 
 // Commit commits a transaction on all members, at most once per id. It blocks until a majority has it. It returns
-// ErrNotLeader on any member but the leader, and ErrOutcomeUnknown if the transaction may still be committed. Unmet
-// conditions are not an error, but are reported in the Result.
+// ErrNotLeader on any member but the leader, ErrOutcomeUnknown if the transaction may still be committed, and
+// ErrChangeRejected if it sets an invalid document. Unmet conditions are not an error, but are reported in the Result.
 func (s *Store) Commit(t document.Transaction) (document.Result, error) {
 	for _, o := range t.Operations {
 		if o.Lease != nil {
@@ -35,6 +35,12 @@
 		if err := checkNotReserved(o.Key); err != nil {
 			return document.Result{}, err
 		}
+		if o.Delete {
+			continue
+		}
+		if err := s.opts.CheckDocument(o.Key, o.Value); err != nil {
+			return document.Result{}, fmt.Errorf("%w: %s: %w", ErrChangeRejected, o.Key, err)
+		}
 	}
 	return s.propose(t)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,7 +43,8 @@
 	// ErrOutcomeUnknown means that the change may or may not take effect. Repeating the request with the same id applies
 	// it at most once.
 	ErrOutcomeUnknown = errors.New("outcome of the change is unknown: repeat the request with the same id")
-	// ErrChangeRejected means that a change of the members or a restore was rejected. Nothing was changed.
+	// ErrChangeRejected means that a change of the members, a restore or an invalid document was rejected. Nothing was
+	// changed.
 	ErrChangeRejected = errors.New("change rejected")
 )
 
@@ -74,6 +75,10 @@
 	LeaseTerms      lease.Terms   // zero: DefaultLeaseTerms
 	MaxLag          uint64        // most log entries by which a member to be given a vote or the leadership may lag; 0: defaultMaxLag
 
+	// CheckDocument returns an error if a document must not be stored under its key; nil: all are accepted. It must depend
+	// on nothing but its arguments.
+	CheckDocument func(key, value string) error
+
 	Clock   lease.Clock            // nil: lease.Now
 	WrapFS  func(disk.FS) disk.FS  // wraps the data directory's file system; nil: not wrapped
 	OnEvent func(faulthooks.Event) // called when this member starts or stops leading; must not block; nil: not called
@@ -151,6 +156,9 @@
 	if o.WrapFS == nil {
 		o.WrapFS = unwrappedFS
 	}
+	if o.CheckDocument == nil {
+		o.CheckDocument = func(string, string) error { return nil }
+	}
 	if o.OnEvent == nil {
 		o.OnEvent = func(faulthooks.Event) {}
 	}
