Fail a job whose record names a step it does not have, instead of a panic

Nodes would have ended one after the other: a record of a duty with a step beyond the job's steps, set by operators or left by a version with more steps, was an index out of range in each node that got the duty's lease.

--- a/internal/control/leasedtask/leasedtask.go
+++ b/internal/control/leasedtask/leasedtask.go
@@ -15,6 +15,7 @@
 package leasedtask
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -53,6 +54,22 @@
 // Finished reports whether the job has completed or failed.
 func (r Record) Finished() bool { return r.State == StateCompleted || r.State == StateFailed }
 
+// errNotResumable means that a record does not describe the progress of its job, as after a change of the job's steps.
+var errNotResumable = errors.New("the job can't be resumed from its record")
+
+// checkResumable returns an error for a record of this job that has neither finished nor names one of its steps.
+func (j Job) checkResumable(r Record) error {
+	switch {
+	case r.Finished():
+		return nil
+	case r.State != StateStarted && r.State != StateDone:
+		return fmt.Errorf("%w: unknown state %q", errNotResumable, r.State)
+	case r.Step < 0 || r.Step >= len(j.Steps):
+		return fmt.Errorf("%w: step %d, but the job has %d steps", errNotResumable, r.Step, len(j.Steps))
+	}
+	return nil
+}
+
 // ActionKind is the kind of an action.
 type ActionKind int
 
--- a/internal/control/leasedtask/runner.go
+++ b/internal/control/leasedtask/runner.go
@@ -68,10 +68,15 @@
 }
 
 // HandleRecord reports the record and its version; version 0: there is no record. The job is started only if its
-// predecessor has finished. The record of any other job makes the runner stop.
+// predecessor has finished. The record of any other job makes the runner stop. A record from which the job can't be
+// resumed is to be replaced by one in which the job has failed.
 func (r *Runner) HandleRecord(record Record, version uint64) {
 	r.operationPending, r.recordKnown, r.version, r.record = false, true, version, record
 	if record.JobID == r.job.ID {
+		if err := r.job.checkResumable(record); err != nil {
+			record.State, record.FailureReason = StateFailed, err.Error()
+			r.pendingWrite = &record
+		}
 		return
 	}
 	r.record = Record{}
