Let a first member that returns empty be readmitted, not found a second store

Callers saw: the first member of a store of three was killed and started again with an empty folder.

Cause: a member whose settings name no other bootstraps with an empty folder at once. A first start and a lost folder look the same to it.

Evidence: its log has an election without another member 1.4 s after the start, revision 0, while n1 leads with revision 6 without contact to it.

It listens for five election timeouts before it founds a store. Members of a store contact it within two, and then it waits: the leader takes its vote, committed by a majority of the others, it starts as a learner, and votes again once it has applied the record of this readmission. It starts no election before, since the log that it receives anew begins with a configuration in which it was the only voter. Leaders report from committed configurations only that a member has no vote. The list of values in the test of encoded forms has the new field of identity.

The store's tests and those of members, fleets and operators' state with real processes pass under -race.

--- a/internal/store/encoding_test.go
+++ b/internal/store/encoding_test.go
@@ -54,7 +54,8 @@
 			`{"Key":"","Value":"","Restore":{"id":"r","part":1,"of":2,"data":"eA==","sum":` + noChecksum + `,"floor":4}}`,
 		},
 		{Member{"n", "r:1", "a:1"}, `{"Name":"n","Raft":"r:1","Admin":"a:1"}`},
-		{identity{"n", "S", 3, "o"}, `{"name":"n","store":"S","voters":3,"out":"o"}`},
+		{identity{"n", "S", 3, "o", ""}, `{"name":"n","store":"S","voters":3,"out":"o"}`},
+		{identity{Name: "n", ReadmissionID: "r"}, `{"name":"n","store":"","voters":0,"readmit":"r"}`},
 		{
 			snapshot{map[string]string{"closed": "n1"}, json.RawMessage("{}"), &partialBackup{"r", 1, []byte("x")}},
 			`{"values":{"closed":"n1"},"documents":{},"staged":{"id":"r","next":1,"data":"eA=="}}`,
--- a/internal/store/identity.go
+++ b/internal/store/identity.go
@@ -25,6 +25,7 @@
 		return quorum.PeerAnswer{From: s.opts.Name}
 	}
 	a := quorum.PeerAnswer{From: s.opts.Name, StoreID: s.peers.localIdentity().StoreID, IsMember: true, Progress: s.peers.peer(requester).progress}
+	a.Readmission, a.ReadmissionID = s.readmission()
 	r := s.raft.Load()
 	if r == nil {
 		return a
@@ -40,13 +41,56 @@
 				a.IsMember, a.IsVoter = true, m.Suffrage == raft.Voter
 			}
 		}
+		if a.IsLeader && c.Index() > r.CommitIndex() {
+			a.IsVoter = true // until a change that takes a vote away is committed, it may be undone
+		}
 	}
 	return a
 }
 
+// requesterIdentity is what a member tells about itself when it asks another one for its identity.
+type requesterIdentity struct {
+	Name         string
+	StoreID      string // empty: it does not belong to a store yet
+	AdminAddress string
+}
+
+// query returns the encoded form, as the query of GET /identity.
+func (q requesterIdentity) query() string {
+	return url.Values{"of": {q.Name}, "store": {q.StoreID}, "admin": {q.AdminAddress}}.Encode()
+}
+
+func decodeRequesterIdentity(values url.Values) requesterIdentity {
+	return requesterIdentity{Name: values.Get("of"), StoreID: values.Get("store"), AdminAddress: values.Get("admin")}
+}
+
+// askIdentity asks the member with the given address for operators for its identity, and what it knows about this one.
+func (s *Store) askIdentity(adminAddress string, timeout time.Duration) (quorum.PeerAnswer, error) {
+	q := requesterIdentity{Name: s.opts.Name, StoreID: s.peers.localIdentity().StoreID}
+	if self, known := s.member(s.opts.Name); known {
+		q.AdminAddress = self.AdminAddress
+	}
+	return Client{adminAddress, timeout}.identity(q)
+}
+
+// recordContact records that another member has asked for this one's identity, if it belongs to a store.
+func (s *Store) recordContact(q requesterIdentity) {
+	if q.StoreID != "" && q.Name != s.opts.Name && s.raft.Load() == nil {
+		s.contacts.add(q.Name, q.AdminAddress)
+	}
+}
+
+// recordPeerProgress records the progress that a message of another member's raft implies. Only members of a store send any.
+func (s *Store) recordPeerProgress(name string, progress quorum.Progress) {
+	s.peers.recordProgress(name, progress)
+	if s.raft.Load() == nil {
+		s.contacts.add(name, "")
+	}
+}
+
 // identity requests the identity of a member, and what it knows about requester.
-func (c Client) identity(requester string) (a quorum.PeerAnswer, err error) {
-	err = c.get("/identity?of="+url.QueryEscape(requester), &a)
+func (c Client) identity(requester requesterIdentity) (a quorum.PeerAnswer, err error) {
+	err = c.get("/identity?"+requester.query(), &a)
 	if errors.Is(err, errUnknownPath) { // the member's version does not support the request; the address distinguishes several such members
 		return quorum.PeerAnswer{From: c.Address, Unsupported: true}, nil
 	}
@@ -60,7 +104,7 @@
 	if !known || m.AdminAddress == "" {
 		return nil // it can't be asked
 	}
-	a, err := Client{m.AdminAddress, min(timeout, s.opts.ElectionTimeout)}.identity(s.opts.Name)
+	a, err := s.askIdentity(m.AdminAddress, min(timeout, s.opts.ElectionTimeout))
 	if err != nil {
 		if s.peers.isVerified(m) {
 			return nil
--- a/internal/store/memberapi.go
+++ b/internal/store/memberapi.go
@@ -6,7 +6,7 @@
 //
 //	GET  /members?local=1     returns the Membership as this member sees it; without local, as the leader does
 //	POST /members             makes a MembershipChange; responds with the resulting Membership
-//	GET  /identity?of=NAME    returns a quorum.PeerAnswer for the member NAME, which is about to start
+//	GET  /identity?of=NAME    returns a quorum.PeerAnswer for the member NAME; &store=ID&admin=A: its store, and its address for operators
 func (s *Store) registerMemberRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /members", s.serveMembers)
 	mux.HandleFunc("POST /members", s.serveMembershipChange)
@@ -32,5 +32,7 @@
 }
 
 func (s *Store) serveIdentity(w http.ResponseWriter, r *http.Request) {
-	s.respond(w, r, s.Identity(r.URL.Query().Get("of")), nil)
+	requester := decodeRequesterIdentity(r.URL.Query())
+	s.recordContact(requester)
+	s.respond(w, r, s.Identity(requester.Name), nil)
 }
--- a/internal/store/memberchange.go
+++ b/internal/store/memberchange.go
@@ -46,6 +46,11 @@
 // (quorum.Group) or not possible, and ErrOutcomeUnknown if the change may still take effect. Repeating a change has no
 // further effect.
 func (s *Store) ChangeMembers(c MembershipChange) error {
+	return s.changeMembers(c, memberChanger.run)
+}
+
+// changeMembers makes a change of the members by run, one at a time. It returns the errors of ChangeMembers.
+func (s *Store) changeMembers(c MembershipChange, run func(memberChanger) error) error {
 	if len(s.opts.Members) == 0 {
 		return fmt.Errorf("%w: the store is this daemon's own: its settings list no members", ErrChangeRejected)
 	}
@@ -72,7 +77,7 @@
 		group:  quorum.Group{Members: members, MaxSilence: maxSilence, MaxLag: cmp.Or(s.opts.MaxLag, defaultMaxLag)},
 		index:  index,
 	}
-	return m.run()
+	return run(m)
 }
 
 // memberChanger makes one change of the members.
--- a/internal/store/peertracker.go
+++ b/internal/store/peertracker.go
@@ -26,7 +26,8 @@
 	Name            string `json:"name"`
 	StoreID         string `json:"store"`
 	Voters          int    `json:"voters"`
-	ExclusionReason string `json:"out,omitempty"` // why this data directory may never be used again; empty: it may
+	ExclusionReason string `json:"out,omitempty"`     // why this data directory may never be used again; empty: it may
+	ReadmissionID   string `json:"readmit,omitempty"` // id of the readmission in progress after the loss of an earlier directory; empty: none
 }
 
 // peerState is what is known about another member.
@@ -169,6 +170,14 @@
 	return t.save()
 }
 
+// setReadmissionID saves the id of this member's readmission; "" ends it.
+func (t *peerTracker) setReadmissionID(id string) error {
+	t.mu.Lock()
+	t.local.ReadmissionID = id
+	t.mu.Unlock()
+	return t.save()
+}
+
 // recordProgress records the progress that a request or response of another member's raft implies.
 func (t *peerTracker) recordProgress(name string, progress quorum.Progress) {
 	t.mu.Lock()
--- a/internal/store/quorum/rejoin.go
+++ b/internal/store/quorum/rejoin.go
@@ -52,9 +52,21 @@
 	Term               uint64   `json:"term"`   // the highest term in which the responder acted
 	LeaderAdminAddress string   `json:"leader"` // the leader's address for operators; empty: not known
 	Progress           Progress `json:"mark"`   // the requester's progress, as the responder remembers it
-	Unsupported        bool     `json:"-"`      // the responder's version does not support the request
+	// Readmission is how far the responder's own readmission is, if it lost its data directory.
+	Readmission   Readmission `json:"readmit,omitempty"`
+	ReadmissionID string      `json:"readmit_id,omitempty"` // with ReadmissionStarted: the id under which it has to be recorded
+	Unsupported   bool        `json:"-"`                    // the responder's version does not support the request
 }
 
+// Readmission is how far the readmission of a member is that lost its data directory. The zero value means that it lost none.
+type Readmission string
+
+// The steps of a readmission.
+const (
+	ReadmissionAwaited Readmission = "awaited" // it does not participate until its vote was taken away
+	ReadmissionStarted Readmission = "started" // it participates as a learner, until it has its vote again
+)
+
 // Decision is what a starting member has to do.
 type Decision int
 
--- a/internal/store/start.go
+++ b/internal/store/start.go
@@ -37,7 +37,7 @@
 		logger:     s.opts.Logger,
 		addressOf:  s.raftAddress,
 		verify:     s.verifyPeer,
-		onProgress: s.peers.recordProgress,
+		onProgress: s.recordPeerProgress,
 	})
 	if err != nil {
 		return err
@@ -46,8 +46,8 @@
 	if err != nil {
 		return err
 	}
-	if len(s.opts.Members) == 1 {
-		return s.startRaft(empty && !s.opts.Join)
+	if len(s.opts.Members) == 1 && (!empty || s.opts.Join) {
+		return s.startRaft(false)
 	}
 	s.setExclusionReason("the other members have not been asked yet")
 	s.loops.Go(s.newStartCheck(progress, empty).run)
@@ -59,12 +59,14 @@
 	store   *Store
 	local   quorum.LocalState
 	answers map[string]quorum.PeerAnswer // by the name of the responding member
+	founds  bool                         // the founding rule applies (founding.go)
+	polls   int                          // by the founding rule
 }
 
 // newStartCheck returns a check for a data directory with the given progress.
 func (s *Store) newStartCheck(progress quorum.Progress, empty bool) *startCheck {
 	local := s.peers.localIdentity()
-	c := &startCheck{store: s, answers: map[string]quorum.PeerAnswer{}}
+	c := &startCheck{store: s, answers: map[string]quorum.PeerAnswer{}, founds: empty && !s.opts.Join && len(s.opts.Members) == 1}
 	c.local = quorum.LocalState{
 		Name:               local.Name,
 		StoreID:            local.StoreID,
@@ -110,6 +112,13 @@
 }
 
 func (c *startCheck) decide() (quorum.Decision, string) {
+	if c.founds {
+		return c.decideFounding()
+	}
+	return c.decideByAnswers()
+}
+
+func (c *startCheck) decideByAnswers() (quorum.Decision, string) {
 	return quorum.DecideRejoin(c.local, slices.Collect(maps.Values(c.answers)))
 }
 
@@ -132,7 +141,14 @@
 
 func (c *startCheck) start() {
 	s := c.store
-	if err := s.startRaft(c.local.Empty && !c.local.Joining); err != nil {
+	var err error
+	if s.awaitsReadmission.Load() {
+		err = s.beginReadmission()
+	}
+	if err == nil {
+		err = s.startRaft(c.local.Empty && !c.local.Joining)
+	}
+	if err != nil {
 		s.setExclusionReason(err.Error())
 		s.opts.Logger.Error("raft not started, this member does not participate in the store; the node continues to serve", "error", err)
 		_ = s.transport.Close() // nothing was sent over the transport
@@ -158,10 +174,12 @@
 	}
 }
 
-// adminAddresses returns the addresses for operators of the other members in the settings.
+// adminAddresses returns the addresses for operators of the other members in the settings, and of those that have
+// contacted this member.
 func (c *startCheck) adminAddresses() (addresses []string) {
+	addresses = c.store.contacts.adminAddresses()
 	for _, m := range c.store.opts.Members {
-		if m.Name != c.store.opts.Name && m.AdminAddress != "" {
+		if m.Name != c.store.opts.Name && m.AdminAddress != "" && !slices.Contains(addresses, m.AdminAddress) {
 			addresses = append(addresses, m.AdminAddress)
 		}
 	}
@@ -175,7 +193,7 @@
 	var mu sync.Mutex
 	for _, address := range addresses {
 		wg.Go(func() {
-			a, err := Client{address, c.store.opts.ElectionTimeout}.identity(c.store.opts.Name)
+			a, err := c.store.askIdentity(address, c.store.opts.ElectionTimeout)
 			if err != nil {
 				return
 			}
@@ -194,11 +212,11 @@
 func (s *Store) startRaft(bootstrap bool) error {
 	cfg := raftConfig(s.opts.Name, s.opts.Logger)
 	cfg.HeartbeatTimeout, cfg.ElectionTimeout, cfg.LeaderLeaseTimeout = s.opts.ElectionTimeout, s.opts.ElectionTimeout, s.leaderLease()
-	if s.opts.Join {
-		s.transport.withholdVotesWhile(func() bool {
-			_, empty, err := s.storage.progress()
-			return empty || err != nil
-		})
+	if !bootstrap {
+		s.transport.withholdVotesWhile(s.withholdsVotes)
+	}
+	if s.peers.localIdentity().ReadmissionID != "" {
+		cfg.HeartbeatTimeout, cfg.ElectionTimeout = noElectionTimeout, noElectionTimeout
 	}
 	r, err := raft.NewRaft(cfg, (*stateMachine)(s), s.storage.logs, s.storage.stable, s.storage.snapshots, s.transport)
 	if err != nil {
@@ -207,6 +225,7 @@
 	s.raft.Store(r)
 	go s.watchLeadership(r)
 	s.loops.Go(func() { s.watchMembership(r) })
+	s.loops.Go(func() { s.watchReadmissions(r) })
 	if !bootstrap {
 		return nil
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -10,7 +10,8 @@
 //   - raftstorage.go, peertracker.go: a member's persistent state; transport.go, streamlayer.go: its connections to the
 //     others.
 //   - standalone.go, replay.go: a store without members on a data directory.
-//   - start.go, identity.go: how a member asks the others whether it may participate; membershipwatch.go: how it detects
+//   - start.go, identity.go: how a member asks the others whether it may participate; founding.go: when it founds a store;
+//     readmission.go: how it gets its vote back after the loss of its data directory; membershipwatch.go: how it detects
 //     that it was removed.
 //   - members.go, memberchange.go: the members, and changes of them while the store runs.
 //   - recover.go: how one member continues alone after the permanent loss of the majority.
@@ -96,6 +97,9 @@
 	raft      atomic.Pointer[raft.Raft] // nil while this member does not participate
 	peers     *peerTracker
 
+	contacts          contacts    // before raft is started (founding.go)
+	awaitsReadmission atomic.Bool // its data directory was lost (readmission.go)
+
 	done      chan struct{} // closed by Close
 	closeOnce sync.Once
 	loops     sync.WaitGroup
