Notice a uwsgi client that leaves while its body fills the window

Here a queued uwsgi request whose body filled the window was sent to a server, although its client had reset the connection.

Cause: a departure is noticed by a read that fails, and while the window is full nothing is read.

Evidence: the test below, without the poll: 20 s after the reset the request was still queued.

While the window is full, the socket is polled for a reset every 0.1 s, or for a close where half_close is "leaves", without a read.

--- a/internal/frontend/gracefulclose/close.go
+++ b/internal/frontend/gracefulclose/close.go
@@ -49,7 +49,11 @@
 }
 
 // peerClosed reports whether the peer has shut down its side. It does not read what the peer sent before.
-func peerClosed(c net.Conn) bool {
+func peerClosed(c net.Conn) bool { return PeerGone(c, true) }
+
+// PeerGone reports whether the peer has reset the connection or, if halfClosed is set, has shut down its side. It neither
+// blocks nor reads what the peer sent before. It returns false for a connection whose socket is not accessible.
+func PeerGone(c net.Conn, halfClosed bool) bool {
 	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -58,11 +62,15 @@
 	if err != nil {
 		return true // the connection is closed
 	}
+	gone := int16(unix.POLLHUP | unix.POLLERR)
+	if halfClosed {
+		gone |= unix.POLLRDHUP
+	}
 	closed := false
 	err = control.Control(func(fd uintptr) {
 		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(state, 0)
-		closed = err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		closed = err == nil && n > 0 && state[0].Revents&gone != 0
 	})
 	return closed || err != nil
 }
--- a/internal/frontend/uwsgi/bodyreader.go
+++ b/internal/frontend/uwsgi/bodyreader.go
@@ -1,6 +1,7 @@
 package uwsgi
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"sync"
 	"time"
 
+	"sloehitch/internal/frontend/gracefulclose"
 	"sloehitch/internal/frontend/uwsgi/packet"
 	"sloehitch/internal/platform/limits"
 )
@@ -15,6 +17,12 @@
 // errBodyTruncated is returned if the client ended its sending side before the end of the body.
 var errBodyTruncated = errors.New("the client closed its sending side before the end of the request body")
 
+// errClientGone is returned if the client disconnected while the window was full.
+var errClientGone = errors.New("the client disconnected before its request body was read")
+
+// departurePollInterval is how often a full window is checked for the client's departure.
+const departurePollInterval = 100 * time.Millisecond
+
 // readBufferSize is the size of the buffer into which a body is read, in bytes.
 const readBufferSize = 4 << 10
 
@@ -101,7 +109,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for !b.complete && b.err == nil && len(b.window) >= b.windowSize {
+		if b.clientGone() {
+			return 0, false, errClientGone
+		}
+		wake := time.AfterFunc(departurePollInterval, b.changed.Broadcast)
 		b.changed.Wait()
+		wake.Stop()
 	}
 	if b.err != nil {
 		return 0, false, b.err
@@ -115,6 +128,15 @@
 	return maxRead, b.complete, b.conn.SetReadDeadline(deadline)
 }
 
+// clientGone reports whether the client has disconnected with part of its body still unread, so that no read can tell.
+func (b *bodyReader) clientGone() bool {
+	conn := b.conn
+	if c, ok := conn.(*tls.Conn); ok {
+		conn = c.NetConn()
+	}
+	return gracefulclose.PeerGone(conn, b.halfCloseCancels)
+}
+
 // append adds received bytes to the window and returns how many of them belong to the body. The caller must hold mu.
 func (b *bodyReader) append(received []byte) (n int, err error) {
 	n = len(received)
--- a/internal/frontend/uwsgi/clientconn_test.go
+++ b/internal/frontend/uwsgi/clientconn_test.go
@@ -110,3 +110,40 @@
 		}
 	}
 }
+
+// TestClientGoneWithBodyUnreadIsNotSentOn guards against sending on the queued request of a client that has disconnected while its body
+// filled the window: nothing is read from it then, so no read fails.
+func TestClientGoneWithBodyUnreadIsNotSentOn(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		halfCloseCancels bool
+		leave            func(net.Conn)
+	}{
+		{"reset", false, func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); c.Close() }},
+		{"close", true, func(c net.Conn) { c.Close() }},
+	} {
+		hold := make(chan struct{})
+		s := standin.NewScripted(t, standin.Script{{Until: "first"}, {Wait: hold}, {Send: okResponse}})
+		r := newHarness(t, []string{s.Address}, func(o *Options, p *PoolOptions) { o.HalfCloseCancels, p.Balancer.MaxConcurrency = c.halfCloseCancels, 1 })
+		first := r.dial(t)
+		if _, err := io.WriteString(first, standin.Packet(t, "first", requestVars("/", contentLength(5))...)); err != nil {
+			t.Fatal(err)
+		}
+		standin.WaitFor(t, "the first request runs", func() bool { return s.Connections() == 1 })
+		second := r.dial(t)
+		large := strings.Repeat("x", r.limits.BodyWindowBytes+8<<10) // what is left unread fits into the socket
+		if _, err := io.WriteString(second, standin.Packet(t, large, requestVars("/", contentLength(len(large)))...)); err != nil {
+			t.Fatal(err)
+		}
+		standin.WaitFor(t, "the second request is read", func() bool { return r.Totals().Read == 2 })
+		c.leave(second)
+		standin.WaitFor(t, c.name+": the departure is noticed", func() bool { return r.Totals().Left == 1 })
+		close(hold)
+		if got, err := io.ReadAll(first); string(got) != okResponse || err != nil {
+			t.Errorf("%s: the first request got %q, %v", c.name, got, err)
+		}
+		if n := s.Connections(); n != 1 {
+			t.Errorf("%s: %d requests were sent on, want the first only", c.name, n)
+		}
+	}
+}
