--- a/internal/frontend/resp/message_reader_test.go
+++ b/internal/frontend/resp/message_reader_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"strings"
@@ -40,7 +41,7 @@
 	messages, largest := 0, 0
 	for {
 		parts, err := r.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
