Drop the uwsgi request of a client that left from the queue for servers

Cause: the node treats a request in the pool's queue as running; until the decisions abort it, a server that becomes free is given it.

A request that waits for a server leaves the queue when its client fails; nothing was sent, so the run counts as not started. The test waits until the request has left the pool, which is stricter than before.

--- a/internal/frontend/uwsgi/clientconn_test.go
+++ b/internal/frontend/uwsgi/clientconn_test.go
@@ -140,6 +140,7 @@
 		standin.WaitFor(t, "the second request is read", func() bool { return r.Totals().Read == 2 })
 		c.leave(second)
 		standin.WaitFor(t, c.name+": the departure is noticed", func() bool { return r.Totals().Left == 1 })
+		standin.WaitFor(t, c.name+": the request has left the pool", func() bool { return len(r.runs()) == 1 })
 		close(hold)
 		if got, err := io.ReadAll(first); string(got) != okResponse || err != nil {
 			t.Errorf("%s: the first request got %q, %v", c.name, got, err)
--- a/internal/frontend/uwsgi/request.go
+++ b/internal/frontend/uwsgi/request.go
@@ -50,3 +50,6 @@
 	defer r.mu.Unlock()
 	return r.responseStarted
 }
+
+// clientLeft reports whether nobody waits for the response any more: the client has failed, or was answered.
+func (r *clientRequest) clientLeft() bool { return isClosed(r.body.ended) }
--- a/internal/frontend/uwsgi/run.go
+++ b/internal/frontend/uwsgi/run.go
@@ -15,6 +15,7 @@
 	errNoServer   = errors.New("no server is available")
 	errQueueFull  = errors.New("the queue for servers is full")
 	errNoCapacity = errors.New("no server had capacity in time")
+	errClientLeft = errors.New("the client has left before the request was sent")
 )
 
 // run is a request that the node has started on the pool.
@@ -129,13 +130,27 @@
 		if server == "" {
 			return "", errNoCapacity
 		}
+		if r.request.clientLeft() { // both at the same time
+			p.release(server)
+			return "", errClientLeft
+		}
 		return server, nil
 	case <-ctx.Done():
 		p.cancelWait(r.id, wait)
 		return "", errNoCapacity
+	case <-r.request.body.ended:
+		p.cancelWait(r.id, wait)
+		return "", errClientLeft
 	}
 }
 
+// release returns a server that was assigned to a run and is not used.
+func (p *Pool) release(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deliver(p.balancer.Release(time.Now(), server, balancer.ResultCanceled, 0))
+}
+
 // cancelWait removes a run from the queue, and releases a server that was assigned to the run in the meantime.
 func (p *Pool) cancelWait(id string, wait <-chan string) {
 	p.mu.Lock()
