Log what decided about the retry of a uwsgi attempt, and changed semantics

Both outcomes of a failed attempt are logged now, with the request, the server, whether it was sent and the reason against a retry; 'settings applied' lists the changed semantics.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -111,7 +111,7 @@
 	names := *old.Names
 	names.Classes = plan.ClassIndex
 	p.Logic, p.Names = plan.Settings, &names
-	d.log.Info("settings applied", "added", plan.Added, "dropped", plan.Removed, "classes", len(plan.Settings.Classes))
+	d.log.Info("settings applied", "added", plan.Added, "dropped", plan.Removed, "semantics", plan.Idempotency, "classes", len(plan.Settings.Classes))
 	return nil
 }
 
--- a/internal/frontend/uwsgi/run.go
+++ b/internal/frontend/uwsgi/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"sloehitch/internal/admission"
@@ -58,19 +59,22 @@
 		attempted = append(attempted, server)
 		a := attempt{pool: p, run: r, server: server, times: AttemptTimes{Server: server, StartedAt: time.Now()}}
 		result, err = a.do(ctx)
-		retry := p.attemptEnded(ctx, &a, len(attempted), err)
-		if err == nil || !retry {
+		refusal := p.attemptEnded(ctx, &a, len(attempted), err)
+		if err == nil {
+			return result, nil
+		}
+		p.logFailedAttempt(&a, err, refusal)
+		if refusal != nil {
 			return result, err
 		}
-		p.log.Warn("uwsgi attempt failed, retrying on another server", err)
 		if !r.request.body.rewind() {
 			return result, err
 		}
 	}
 }
 
-// attemptEnded records an attempt, releases its server, and reports whether a retry is allowed.
-func (p *Pool) attemptEnded(ctx context.Context, a *attempt, attempts int, err error) (retry bool) {
+// attemptEnded records an attempt and releases its server. It returns nil if a retry is allowed, or the reason why not.
+func (p *Pool) attemptEnded(ctx context.Context, a *attempt, attempts int, err error) (refusal error) {
 	now := time.Now()
 	if a.times.EndedAt = now; err != nil {
 		a.times.Failure = err.Error()
@@ -82,11 +86,22 @@
 	p.deliver(p.balancer.Release(now, a.server, a.result, a.firstByteLatency))
 	r.sent = r.sent || a.sent
 	if err == nil || ctx.Err() != nil {
-		return false
+		return ctx.Err()
 	}
 	return p.balancer.AllowRetry(now, balancer.FailedAttempt{Sent: a.sent, Idempotent: r.request.idempotent,
 		BodyAvailable: r.request.body.replayable(), ResponseStarted: a.responseStarted, Attempts: attempts,
-		TimeLeft: r.request.deadline.Sub(now)}) == nil
+		TimeLeft: r.request.deadline.Sub(now)})
+}
+
+// logFailedAttempt logs a failed attempt with what decided about a retry, unless nobody waits for the response any more.
+func (p *Pool) logFailedAttempt(a *attempt, err, refusal error) {
+	detail := fmt.Errorf("%w; request %s, server %s, sent %t", err, a.run.id, a.server, a.sent)
+	switch {
+	case refusal == nil:
+		p.log.Warn("uwsgi attempt failed, retrying on another server", detail)
+	case !errors.Is(refusal, context.Canceled):
+		p.log.Warn("uwsgi attempt failed, not retried", fmt.Errorf("%w; %w", detail, refusal))
+	}
 }
 
 // outcome returns the outcome to report to the node for a run that ended with err. It logs err unless the client caused it.
--- a/internal/platform/reconfigure/reconfigure.go
+++ b/internal/platform/reconfigure/reconfigure.go
@@ -47,7 +47,19 @@
 	ClassIndex     map[string]int // index of each class by name
 	Added          []string
 	Removed        []string // kept with their running values, for requests in flight and for balancers that still use them
-	TenantsChanged bool     // the new tenants differ from the running ones, which stay until a restart
+	Idempotency    []IdempotencyChange
+	TenantsChanged bool // the new tenants differ from the running ones, which stay until a restart
+}
+
+// IdempotencyChange is a class whose requests may be repeated under other rules than before.
+type IdempotencyChange struct {
+	Class    string
+	From, To logic.Idempotency
+}
+
+// String returns the change in the platform's words, as in "book: retryable to fragile".
+func (c IdempotencyChange) String() string {
+	return fmt.Sprintf("%s: %s to %s", c.Class, settings.IdempotencyWord(c.From), settings.IdempotencyWord(c.To))
 }
 
 // Merge merges new settings with the running ones. Classes are matched by name: a class in both gets the new values and
@@ -64,6 +76,9 @@
 	}
 	for _, c := range next.Classes {
 		if i, ok := removed[c.Name]; ok {
+			if from := running.Classes[i].Idempotency; from != c.Idempotency {
+				p.Idempotency = append(p.Idempotency, IdempotencyChange{Class: c.Name, From: from, To: c.Idempotency})
+			}
 			p.Settings.Classes[i] = c
 			delete(removed, c.Name)
 			continue
--- a/internal/platform/reconfigure/reconfigure_test.go
+++ b/internal/platform/reconfigure/reconfigure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -60,6 +61,7 @@
 func TestMerge(t *testing.T) {
 	next := settingsOf("c", "b", "d")
 	next.Classes[1].ClientTimeout = 9000
+	next.Classes[1].Idempotency = logic.NonIdempotent
 	p, err := Merge(settingsOf("a", "b", "c"), next)
 	if err != nil {
 		t.Fatal(err)
@@ -74,6 +76,9 @@
 	if p.Settings.Classes[1].ClientTimeout != 9000 || p.Settings.Classes[0].ClientTimeout != 5000 {
 		t.Errorf("b must have the new client timeout and a its own: %+v", p.Settings.Classes)
 	}
+	if got := fmt.Sprint(p.Idempotency); got != "[b: retryable to fragile]" {
+		t.Errorf("changes of idempotency %s", got)
+	}
 	if p.ClassIndex["d"] != 3 || p.ClassIndex["a"] != 0 || len(p.ClassIndex) != 4 {
 		t.Errorf("class index %v", p.ClassIndex)
 	}
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -29,6 +29,16 @@
 	return idempotency, known
 }
 
+// IdempotencyWord returns the platform's name of a kind of idempotency.
+func IdempotencyWord(idempotency logic.Idempotency) string {
+	for word, named := range idempotencyByName {
+		if named == idempotency {
+			return word
+		}
+	}
+	return ""
+}
+
 // Maximum lengths of the lists. They are bounded because every step of package logic reads all entries.
 const (
 	// MaxClasses is the maximum number of classes.
