Ask the node before a uwsgi retry, so that a class made fragile is not retried

Cause: the daemon gave the uwsgi front the classes as they were at the start. Node.Reconfigure replaced the node's, not these.

The pool keeps no copy now and asks the node. The node keeps the semantics under which a request was read, and allows a second run only if the request was idempotent then and its class is now. The pool asks when an attempt has failed and again before the first byte of a retry, since that may have waited for a server. An attempt that was not sent no longer hides that an earlier one was.

--- a/internal/daemon/reloadrig_test.go
+++ b/internal/daemon/reloadrig_test.go
@@ -144,20 +144,21 @@
 	return b.text.String()
 }
 
-// breakingServers are two uwsgi servers. The one that reads a request first ends the connection without a response once release
-// lets it; the other one responds. So each request whose body starts with "break" fails at its first attempt, however the pool
-// chooses its servers.
+// breakingServers are two uwsgi servers. The one that reads a request first whose body starts with "break" ends the connection without a
+// response once release is closed; the other one responds. So each such request fails at its first attempt, however the pool chooses
+// its servers. A request whose body starts with "hold" is answered once releaseHeld is closed.
 type breakingServers struct {
-	addresses []string
-	release   chan struct{}
+	addresses   []string
+	release     chan struct{}
+	releaseHeld chan struct{}
 
 	mu   sync.Mutex
 	runs map[string]int
 }
 
-// newBreakingServers starts the servers. Requests are held until release is closed.
+// newBreakingServers starts the servers.
 func newBreakingServers(t *testing.T) *breakingServers {
-	b := &breakingServers{release: make(chan struct{}), runs: map[string]int{}}
+	b := &breakingServers{release: make(chan struct{}), releaseHeld: make(chan struct{}), runs: map[string]int{}}
 	for range 2 {
 		server := standin.NewServer(t, func(body string) string {
 			b.mu.Lock()
@@ -168,6 +169,9 @@
 				<-b.release
 				return ""
 			}
+			if strings.HasPrefix(body, "hold") {
+				<-b.releaseHeld
+			}
 			return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 		})
 		b.addresses = append(b.addresses, server.Address)
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -14,7 +14,6 @@
 	"sloehitch/internal/platform/tlskeys"
 	"sloehitch/internal/platform/traces"
 	"sloehitch/internal/store"
-	"sloehitch/logic"
 )
 
 // upstreams are the uwsgi servers that this node sends requests to.
@@ -51,9 +50,8 @@
 	if err != nil {
 		return err
 	}
-	classes := c.Platform.Logic.Classes
 	d.uwsgi = uwsgi.New(uwsgi.Options{OnRequestDone: observe, Core: d.node, Mapper: c.Operations, Pool: d.upstreams.pool, Limits: d.limits, Log: d.log,
-		Idempotent: func(class int) bool { return classes[class].Idempotency == logic.Idempotent }, Healthy: func() bool { return !d.service.outOfService() },
+		Healthy:   func() bool { return !d.service.outOfService() },
 		Modifiers: u.ModifierBytes(), DeadlineVariable: u.Deadline, HalfCloseCancels: u.HalfCloseCancels(), MaxConnectionsPerHost: u.ConnectionsPerSource, MaxBodyBytes: u.MaxBodyBytes()})
 	return d.serveOn("uwsgi", func() (net.Listener, error) { return address.Listen(mode, frontKeys) }, d.uwsgi.Serve)
 }
--- a/internal/frontend/uwsgi/attempt.go
+++ b/internal/frontend/uwsgi/attempt.go
@@ -55,6 +55,10 @@
 	}
 	defer conn.Close()
 	a.times.ConnectedAt = time.Now()
+	if a.run.sent && !a.run.request.mayRunAgain() { // asked again, as the wait for this server may have been long
+		a.result = balancer.ResultCanceled
+		return nil, errMayNotRunAgain
+	}
 	cancelClose := context.AfterFunc(ctx, func() { conn.Close() }) // the run was stopped, or its deadline has passed
 	defer cancelClose()
 
--- a/internal/frontend/uwsgi/balancer/balancer_test.go
+++ b/internal/frontend/uwsgi/balancer/balancer_test.go
@@ -166,6 +166,8 @@
 		{"request not sent", func(a *FailedAttempt) { a.Idempotent = false }, nil},
 		{"request sent, idempotent", func(a *FailedAttempt) { a.Sent = true }, nil},
 		{"request sent, not idempotent", func(a *FailedAttempt) { a.Sent, a.Idempotent = true, false }, ErrNotIdempotent},
+		{"only an earlier attempt sent, no longer idempotent", func(a *FailedAttempt) { a.SentEarlier, a.Idempotent = true, false }, ErrNotIdempotent},
+		{"only an earlier attempt sent, idempotent", func(a *FailedAttempt) { a.SentEarlier = true }, nil},
 		{"body not replayable", func(a *FailedAttempt) { a.BodyAvailable = false }, ErrBodyNotReplayable},
 		{"part of the response sent to the client", func(a *FailedAttempt) { a.ResponseStarted = true }, ErrResponseStarted},
 		{"too many attempts", func(a *FailedAttempt) { a.Attempts = 3 }, ErrMaxAttempts},
--- a/internal/frontend/uwsgi/balancer/retry.go
+++ b/internal/frontend/uwsgi/balancer/retry.go
@@ -10,8 +10,8 @@
 // Rule: retries.
 //
 // Inputs: the failed attempt (FailedAttempt) and the retry budget.
-// A request is sent to another server if no part of a response has reached the client, the request can't have run or is
-// idempotent, its body can be sent again, fewer than Config.MaxAttempts attempts were made, and more than ExpectedDuration is left
+// A request is sent to another server if no part of a response has reached the client, no attempt of the request can have run or
+// it is idempotent, its body can be sent again, fewer than Config.MaxAttempts attempts were made, and more than ExpectedDuration is left
 // before the deadline. The pool does not estimate how long an attempt takes and leaves ExpectedDuration at 0, so for the pool the
 // last condition means that the deadline has not passed.
 // A retry of a request that may have reached a server takes a token from the budget. Each first attempt adds Config.RetryRatio
@@ -40,7 +40,8 @@
 // FailedAttempt describes a failed attempt, as input for the decision on a retry.
 type FailedAttempt struct {
 	Sent             bool          // the server may have received part of the request
-	Idempotent       bool          // the request may run more than once
+	SentEarlier      bool          // the server of an earlier attempt may have received part of it
+	Idempotent       bool          // the request may run more than once, by the semantics in force now
 	BodyAvailable    bool          // the request body can be sent again
 	ResponseStarted  bool          // part of the response was sent to the client
 	Attempts         int           // attempts made so far, including this one
@@ -54,7 +55,7 @@
 	switch {
 	case a.ResponseStarted:
 		return ErrResponseStarted
-	case a.Sent && !a.Idempotent:
+	case (a.Sent || a.SentEarlier) && !a.Idempotent:
 		return ErrNotIdempotent
 	case !a.BodyAvailable:
 		return ErrBodyNotReplayable
--- a/internal/frontend/uwsgi/front.go
+++ b/internal/frontend/uwsgi/front.go
@@ -29,6 +29,8 @@
 	BeginResponse(id string) bool
 	// RejectionStatusOf returns the status for a request that can't be submitted.
 	RejectionStatusOf(q *node.Request) node.Status
+	// MayRunAgain reports whether a submitted request may be run again although it may have run.
+	MayRunAgain(id string) bool
 }
 
 // Mapper classifies a request by its variables. It sets the class, tenant, key and hints, and returns 0, or the HTTP status with
@@ -42,14 +44,13 @@
 	Core                  Core
 	Mapper                Mapper
 	Pool                  *Pool
-	Idempotent            func(class int) bool // whether requests of the class may run more than once
-	Healthy               func() bool          // whether to answer pings; nil: always
-	Modifiers             []byte               // values of modifier1 that are served; nil: only 0
-	DeadlineVariable      string               // variable with the client's timeout in milliseconds; empty: none
-	HalfCloseCancels      bool                 // treat a client that ends its sending side as disconnected
-	MaxConnectionsPerHost int                  // 0: limited only by the total number of connections
-	MaxBodyBytes          int64                // of a streamed request body
-	OnRequestDone         func(RequestTimes)   // called after each submitted request unless nil; must not block
+	Healthy               func() bool        // whether to answer pings; nil: always
+	Modifiers             []byte             // values of modifier1 that are served; nil: only 0
+	DeadlineVariable      string             // variable with the client's timeout in milliseconds; empty: none
+	HalfCloseCancels      bool               // treat a client that ends its sending side as disconnected
+	MaxConnectionsPerHost int                // 0: limited only by the total number of connections
+	MaxBodyBytes          int64              // of a streamed request body
+	OnRequestDone         func(RequestTimes) // called after each submitted request unless nil; must not block
 	Limits                limits.Limits
 	Log                   *slog.Logger
 }
--- a/internal/frontend/uwsgi/harness_test.go
+++ b/internal/frontend/uwsgi/harness_test.go
@@ -65,7 +65,7 @@
 		{Name: "read", LatencyObjective: 20e6, ClientTimeout: 60e6, PriorityWeight: 1},
 		{Name: "book", LatencyObjective: 20e6, ClientTimeout: 60e6, PriorityWeight: 3, Idempotency: logic.IdempotentByKey, IdempotencyWindow: 60e6},
 		{Name: "write", LatencyObjective: 20e6, ClientTimeout: 60e6, PriorityWeight: 3, Idempotency: logic.NonIdempotent}}}
-	o := Options{Mapper: mapper{}, Idempotent: func(class int) bool { return class == read }, MaxBodyBytes: 1 << 20, Limits: lim, Log: standin.DiscardLogger}
+	o := Options{Mapper: mapper{}, MaxBodyBytes: 1 << 20, Limits: lim, Log: standin.DiscardLogger}
 	po := PoolOptions{Balancer: balancer.DefaultConfig(), Limits: lim, Log: standin.DiscardLogger}
 	if change != nil {
 		change(&o, &po)
--- a/internal/frontend/uwsgi/request.go
+++ b/internal/frontend/uwsgi/request.go
@@ -11,12 +11,12 @@
 type clientRequest struct {
 	head          []byte // the packet's header and variables, as received
 	headOnly      bool   // the method is HEAD, so the response has no body
-	idempotent    bool
-	streamable    bool // the response need not be buffered
+	streamable    bool   // the response need not be buffered
 	deadline      time.Time
 	body          *bodyReader
 	client        net.Conn
 	beginResponse func() bool // asks the node whether sending the response to the client may begin
+	mayRunAgain   func() bool // asks the node whether the request may be sent to a server although one may have run it
 
 	mu              sync.Mutex
 	responseStarted bool
--- a/internal/frontend/uwsgi/run.go
+++ b/internal/frontend/uwsgi/run.go
@@ -17,6 +17,8 @@
 	errQueueFull  = errors.New("the queue for servers is full")
 	errNoCapacity = errors.New("no server had capacity in time")
 	errClientLeft = errors.New("the client has left before the request was sent")
+	// errMayNotRunAgain ends a retry whose request is no longer idempotent: SIGHUP came between the decision and the connection.
+	errMayNotRunAgain = errors.New("the request may have run and is no longer idempotent")
 )
 
 // run is a request that the node has started on the pool.
@@ -80,15 +82,17 @@
 		a.times.Failure = err.Error()
 	}
 	r := a.run
+	idempotent := err != nil && r.request.mayRunAgain() // before mu is locked: the node calls the pool with its own lock held
 	r.times.Attempts = append(r.times.Attempts, a.times)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.deliver(p.balancer.Release(now, a.server, a.result, a.firstByteLatency))
+	sentEarlier := r.sent
 	r.sent = r.sent || a.sent
 	if err == nil || ctx.Err() != nil {
 		return ctx.Err()
 	}
-	return p.balancer.AllowRetry(now, balancer.FailedAttempt{Sent: a.sent, Idempotent: r.request.idempotent,
+	return p.balancer.AllowRetry(now, balancer.FailedAttempt{Sent: a.sent, SentEarlier: sentEarlier, Idempotent: idempotent,
 		BodyAvailable: r.request.body.replayable(), ResponseStarted: a.responseStarted, Attempts: attempts,
 		TimeLeft: r.request.deadline.Sub(now)})
 }
--- a/internal/frontend/uwsgi/serve.go
+++ b/internal/frontend/uwsgi/serve.go
@@ -112,7 +112,7 @@
 func (f *Front) serveRequest(conn net.Conn, m *message, q *node.Request) {
 	keyed := q.IdempotencyKey != ""
 	lim, maxBody := f.bodyLimits(keyed)
-	r := &clientRequest{head: m.head, headOnly: m.vars.Get("REQUEST_METHOD") == http.MethodHead, idempotent: f.opts.Idempotent(q.Class),
+	r := &clientRequest{head: m.head, headOnly: m.vars.Get("REQUEST_METHOD") == http.MethodHead,
 		streamable: !keyed, client: conn, body: newBodyReader(conn, m.framing, lim, maxBody, f.opts.HalfCloseCancels)}
 	if m.framing.Length > maxBody {
 		f.rejectBody(conn, r.body, packet.ErrOversize)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -22,10 +22,13 @@
 	ArrivedAt      time.Time     // when it reached the machine, by the caller's or the front end's clock
 	AttemptTimeout time.Duration // how long the caller waits from ArrivedAt, at most the class's timeout; 0: unknown
 	IdempotencyKey string        // the same for all attempts of one keyed request
-	Body           []byte
-	Content        []byte // the part that is the same in all attempts of one keyed request, without the key
-	Runner         Runner
-	Protocol       string // the front end's protocol, the only one that can read the result
+	// Idempotency is that under which the front end has read the request. If it is Idempotent, that of the class at
+	// Submit counts.
+	Idempotency logic.Idempotency
+	Body        []byte
+	Content     []byte // the part that is the same in all attempts of one keyed request, without the key
+	Runner      Runner
+	Protocol    string // the front end's protocol, the only one that can read the result
 }
 
 // stage is the state of a request in its life cycle.
@@ -70,6 +73,9 @@
 		attempt.ArrivedAt = now // a caller's clock that is ahead must not extend the deadline
 	}
 	class := &n.opts.Settings.Classes[attempt.Class]
+	if attempt.Idempotency == logic.Idempotent {
+		attempt.Idempotency = class.Idempotency
+	}
 	if class.Idempotency != logic.IdempotentByKey {
 		attempt.IdempotencyKey = ""
 	}
