Apply the OpenAPI description at SIGHUP, also to the retries of requests in flight

Callers saw, after a SIGHUP: an operation moved to a fragile class still ran on two servers; each keyed request of a class made dedup was answered 503; a new operation was answered 404; changed weights and estimates had no effect. The log said 'configuration applied' and nothing else.

The front kept the description it was started with, and a reload compared the text of the settings alone.

The description is checked against the new settings and then replaces the front's, with the classes' merged indices and the running tenants. A retry also asks which class the operation has now. If the new deployment file has no uwsgi section, the running description stays and must agree with the new settings, otherwise the files are rejected with the reason. A rejection is counted after its log line.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"sloehitch/internal/frontend/uwsgi"
 	"sloehitch/internal/handover"
 	"sloehitch/internal/node"
+	"sloehitch/internal/platform/apispec"
 	"sloehitch/internal/platform/clock"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/platform/latency"
@@ -60,17 +61,18 @@
 	load     func() (*Config, error)
 	counts   reloadCounts
 
-	service   serviceState
-	admission *admission.Controller
-	node      *node.Node
-	runtime   *runtime.Link     // nil without a runtime
-	catalogue *catalogue.Client // nil without a catalogue
-	directory *directory.Reporter
-	resp      *resp.Front
-	uwsgi     *uwsgi.Front // nil if the uwsgi front is off
-	upstreams upstreams
-	listeners listeners
-	tlsKeys   []*tlskeys.Keys // of the uwsgi front and servers
+	service    serviceState
+	admission  *admission.Controller
+	node       *node.Node
+	runtime    *runtime.Link     // nil without a runtime
+	catalogue  *catalogue.Client // nil without a catalogue
+	directory  *directory.Reporter
+	resp       *resp.Front
+	uwsgi      *uwsgi.Front        // nil if the uwsgi front is off
+	operations *apispec.Operations // that it serves; owned as platform is
+	upstreams  upstreams
+	listeners  listeners
+	tlsKeys    []*tlskeys.Keys // of the uwsgi front and servers
 
 	journals journals
 	quota    handover.Quota // this process's quota of the node's resources; owned by the goroutine of Run
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
 
+	"sloehitch/internal/platform/apispec"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/platform/reconfigure"
 	"sloehitch/internal/platform/settings"
@@ -17,11 +17,11 @@
 func (d *Daemon) reload() {
 	next, err := d.load()
 	if err == nil {
-		err = d.reconfigure(next.Platform)
+		err = d.reconfigure(next)
 	}
 	if err != nil {
-		d.counts.rejected.Add(1)
 		d.log.Error("configuration rejected; the running one stays in force", "error", err)
+		d.counts.rejected.Add(1)
 		return
 	}
 	defer d.counts.applied.Add(1)
@@ -83,16 +83,16 @@
 	}
 }
 
-// reconfigure applies the settings of p to the core, admission and the fronts if they differ from the running ones, and stores the
-// merged settings in p (package reconfigure). It returns an error and changes nothing if the file is rejected.
-func (d *Daemon) reconfigure(p *config.Platform) error {
-	old := d.platform
+// reconfigure applies the settings and the description of a new configuration to the core, admission and the fronts, and stores the
+// merged settings in it (package reconfigure). It returns an error and changes nothing if a file is rejected.
+func (d *Daemon) reconfigure(next *Config) error {
+	old, p := d.platform, next.Platform
 	if err := reconfigure.CheckFile(p.Text, flatten(old.Text), flatten(p.Text)); err != nil {
 		return err
 	}
-	if bytes.Equal(p.RawSettings, old.RawSettings) {
-		p.Logic, p.Names = old.Logic, old.Names
-		return nil
+	operations, err := d.nextOperations(next)
+	if err != nil {
+		return err
 	}
 	plan, err := reconfigure.Merge(old.Logic, p.Logic)
 	if err != nil {
@@ -101,16 +101,48 @@
 	if len(plan.Settings.Classes) > reconfigure.MaxClasses {
 		return fmt.Errorf("settings: %d classes, including removed ones kept until a restart for requests in flight, exceed the maximum of %d", len(plan.Settings.Classes), reconfigure.MaxClasses)
 	}
-	if err := d.node.Reconfigure(plan.Settings); err != nil {
+	if err := d.applySettings(plan); err != nil {
 		return err
 	}
-	d.resp.SetClasses(plan.ClassIndex)
-	if plan.TenantsChanged {
-		d.log.Warn("changes of tenants are not applied until a restart")
-	}
 	names := *old.Names
 	names.Classes = plan.ClassIndex
 	p.Logic, p.Names = plan.Settings, &names
+	if operations != nil {
+		d.operations = operations.ForMergedSettings(names.Classes, names.Tenants)
+		d.uwsgi.SetMapper(d.operations)
+	}
+	return nil
+}
+
+// nextOperations returns the operations that the uwsgi front serves from now on, checked against the settings of the new configuration;
+// nil without a front. The running ones stay if the configuration has none: a restart turns the front off, until then it serves them.
+func (d *Daemon) nextOperations(next *Config) (*apispec.Operations, error) {
+	if d.uwsgi == nil {
+		return nil, nil
+	}
+	if next.Operations != nil {
+		return next.Operations, nil
+	}
+	p := next.Platform
+	operations, err := d.operations.ForSettings(&p.Logic, p.Names.Classes, p.Names.Tenants)
+	if err != nil {
+		return nil, fmt.Errorf("the OpenAPI document that the uwsgi front serves until a restart: %w", err)
+	}
+	return operations, nil
+}
+
+// applySettings applies merged settings to the core, admission and the front of balancers if they differ from the running ones.
+func (d *Daemon) applySettings(plan reconfigure.Plan) error {
+	if plan.TenantsChanged {
+		d.log.Warn("changes of tenants are not applied until a restart")
+	}
+	if reflect.DeepEqual(plan.Settings, d.platform.Logic) {
+		return nil
+	}
+	if err := d.node.Reconfigure(plan.Settings); err != nil {
+		return err
+	}
+	d.resp.SetClasses(plan.ClassIndex)
 	d.log.Info("settings applied", "added", plan.Added, "dropped", plan.Removed, "semantics", plan.Idempotency, "classes", len(plan.Settings.Classes))
 	return nil
 }
--- a/internal/daemon/reload_semantics_test.go
+++ b/internal/daemon/reload_semantics_test.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"sloehitch/internal/node"
 	"sloehitch/internal/testing/standin"
 	"strings"
 	"testing"
+	"time"
 )
 
 // The statuses of the tests' responses.
@@ -66,6 +68,114 @@
 	servers.expect(t, "break out", out, mayHaveRun, 1)
 }
 
+// TestDescriptionIsAppliedAtReload guards against a front that goes on with the OpenAPI document of the start: after SIGHUP an operation
+// moved to a fragile class was still retried and ran twice, each keyed request of a class that had become dedup was answered 503 as
+// its key was not read, and a new operation was answered 404.
+func TestDescriptionIsAppliedAtReload(t *testing.T) {
+	two := rigClass("search", "retryable") + "," + rigClass("move", "fragile")
+	find := func(class, semantics string) rigFiles {
+		return rigFiles{classes: two, operations: rigOperation("/find", class, semantics, "")}
+	}
+	dedup := oneClass("dedup", `, key: "header:Idempotency-Key"`)
+	added := rigFiles{classes: rigClass("book", "retryable") + "," + rigClass("move", "fragile"),
+		operations: rigOperation("/book", "book", "retryable", "") + rigOperation("/move", "move", "fragile", "")}
+	replaced := rigFiles{classes: rigClass("reserve", "fragile"), operations: rigOperation("/book", "reserve", "fragile", "")}
+	for _, c := range []struct {
+		name      string
+		from, to  rigFiles
+		pathOut   string // of a request that is out during the reload, and whose server then breaks off; empty: none
+		wantOut   string
+		runsOut   int
+		path      string // of a request read afterwards
+		wantLater string
+		runsLater int
+	}{
+		{"moved to a fragile class", find("search", "retryable"), find("move", "fragile"), "/find", mayHaveRun, 1, "/find", mayHaveRun, 1},
+		{"moved to a retryable class", find("move", "fragile"), find("search", "retryable"), "/find", mayHaveRun, 1, "/find", served, 2},
+		{"class made dedup, with a key", oneClass("retryable", ""), dedup, "/book", mayHaveRun, 1, "/book", mayHaveRun, 1},
+		{"class and operation added", oneClass("retryable", ""), added, "/book", served, 2, "/move", mayHaveRun, 1},
+		{"class replaced", oneClass("fragile", ""), replaced, "/book", mayHaveRun, 1, "/book", mayHaveRun, 1},
+		{"retryable class replaced by a fragile one", oneClass("retryable", ""), replaced, "/book", mayHaveRun, 1, "/book", mayHaveRun, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			servers := newBreakingServers(t)
+			r := serveFiles(t, c.from, "", servers.addresses...)
+			out := r.post(c.pathOut, "break out")
+			servers.waitReceived(t, "break out")
+			if !r.reload(c.to) {
+				t.Fatal("the files were rejected")
+			}
+			close(servers.release)
+			servers.expect(t, "break out", out, c.wantOut, c.runsOut)
+			servers.expect(t, "break later", r.post(c.path, "break later", rigKey("k1")), c.wantLater, c.runsLater)
+			if t.Failed() {
+				t.Log(r.log.String())
+			}
+		})
+	}
+}
+
+// rigKey is the variable with an idempotency key.
+func rigKey(key string) [2]string { return [2]string{"HTTP_IDEMPOTENCY_KEY", key} }
+
+// TestKeysOfClassMadeDedupAreKept guards against a reload after which each keyed request of a class is answered 503: the class needs
+// keys from then on, and the front still read none.
+func TestKeysOfClassMadeDedupAreKept(t *testing.T) {
+	servers := newBreakingServers(t)
+	r := serveFiles(t, oneClass("retryable", ""), "", servers.addresses...)
+	if !r.reload(oneClass("dedup", `, key: "header:Idempotency-Key"`)) {
+		t.Fatal("the files were rejected")
+	}
+	for range 2 { // the second is answered with the result of the first
+		servers.expect(t, "booking", r.post("/book", "booking", rigKey("k1")), served, 1)
+	}
+	servers.expect(t, "without", r.post("/book", "without"), "400 Bad Request", 0)
+}
+
+// TestDescriptionWithoutChangeOfSettingsIsApplied guards against a reload that compares only the text of the settings, so that changed
+// weights and estimates of the OpenAPI document had no effect.
+func TestDescriptionWithoutChangeOfSettingsIsApplied(t *testing.T) {
+	servers := newBreakingServers(t)
+	r := serveFiles(t, oneClass("retryable", ", work-ms: 10, kb: 5, worth: 2"), "", servers.addresses...)
+	if !r.reload(oneClass("retryable", `, work-ms: 20, kb: 7, worth: 3, tenant: "header:Project"`)) {
+		t.Fatal("the files were rejected")
+	}
+	q := node.Request{Tenant: -1}
+	get := func(name string) string {
+		return map[string]string{"REQUEST_METHOD": "POST", "PATH_INFO": "/book", "HTTP_PROJECT": "acme"}[name]
+	}
+	if status := r.operations.Map(get, &q); status != 0 || q.WorkHint != 20*time.Millisecond || q.MemoryKB != 7 || q.Tenant != 0 {
+		t.Errorf("mapped to status %d, %+v", status, q)
+	}
+	if weight := r.platform.Logic.Classes[0].PriorityWeight; weight != 3 {
+		t.Errorf("weight %v in the settings in force, want 3", weight)
+	}
+	servers.expect(t, "one", r.post("/book", "one"), served, 1)
+}
+
+// TestReloadWithoutUwsgiSectionThatChangesItsClassIsRejected guards against a front that serves an OpenAPI document whose semantics
+// differ from those of the settings: without the section the document is not read again, and the front serves until a restart.
+func TestReloadWithoutUwsgiSectionThatChangesItsClassIsRejected(t *testing.T) {
+	servers := newBreakingServers(t)
+	close(servers.release)
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	r := serveFiles(t, oneClass("retryable", ""), rt.Address, servers.addresses...)
+	files := oneClass("dedup", "")
+	files.withoutUwsgi = true
+	if r.reload(files) {
+		t.Error("the files were applied")
+	}
+	if want := `semantics \"retryable\" differs from that of class book`; !strings.Contains(r.log.String(), want) {
+		t.Errorf("the log lacks %s:\n%s", want, r.log.String())
+	}
+	servers.expect(t, "break 1", r.post("/book", "break 1"), served, 2)
+	files = oneClass("retryable", "")
+	if files.withoutUwsgi = true; !r.reload(files) {
+		t.Errorf("the files without the section and with the same class were rejected:\n%s", r.log.String())
+	}
+	servers.expect(t, "break 2", r.post("/book", "break 2"), served, 2)
+}
+
 // TestLogTellsWhyFailedAttemptWasRetried checks that the log says of a failed attempt what decided about its retry, and of a reload
 // whose classes' semantics it changed, so that a request that ran twice can be explained.
 func TestLogTellsWhyFailedAttemptWasRetried(t *testing.T) {
--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -50,7 +50,8 @@
 	if err != nil {
 		return err
 	}
-	d.uwsgi = uwsgi.New(uwsgi.Options{OnRequestDone: observe, Core: d.node, Mapper: c.Operations, Pool: d.upstreams.pool, Limits: d.limits, Log: d.log,
+	d.operations = c.Operations
+	d.uwsgi = uwsgi.New(uwsgi.Options{OnRequestDone: observe, Core: d.node, Mapper: d.operations, Pool: d.upstreams.pool, Limits: d.limits, Log: d.log,
 		Healthy:   func() bool { return !d.service.outOfService() },
 		Modifiers: u.ModifierBytes(), DeadlineVariable: u.Deadline, HalfCloseCancels: u.HalfCloseCancels(), MaxConnectionsPerHost: u.ConnectionsPerSource, MaxBodyBytes: u.MaxBodyBytes()})
 	return d.serveOn("uwsgi", func() (net.Listener, error) { return address.Listen(mode, frontKeys) }, d.uwsgi.Serve)
--- a/internal/frontend/uwsgi/front.go
+++ b/internal/frontend/uwsgi/front.go
@@ -13,6 +13,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sloehitch/internal/frontend/connlimit"
@@ -29,8 +30,9 @@
 	BeginResponse(id string) bool
 	// RejectionStatusOf returns the status for a request that can't be submitted.
 	RejectionStatusOf(q *node.Request) node.Status
-	// MayRunAgain reports whether a submitted request may be run again although it may have run.
-	MayRunAgain(id string) bool
+	// MayRunAgain reports whether a submitted request, which would be of the given class if it were read now, may be run
+	// again although it may have run.
+	MayRunAgain(id string, classNow int) bool
 }
 
 // Mapper classifies a request by its variables. It sets the class, tenant, key and hints, and returns 0, or the HTTP status with
@@ -42,7 +44,7 @@
 // Options configure a front.
 type Options struct {
 	Core                  Core
-	Mapper                Mapper
+	Mapper                Mapper // until SetMapper
 	Pool                  *Pool
 	Healthy               func() bool        // whether to answer pings; nil: always
 	Modifiers             []byte             // values of modifier1 that are served; nil: only 0
@@ -74,6 +76,7 @@
 	log      *lograte.Logger
 	idPrefix string
 	slots    *connlimit.Limiter
+	mapper   atomic.Pointer[Mapper]
 
 	mu                sync.Mutex
 	lastID            uint64
@@ -87,9 +90,27 @@
 	if o.Modifiers == nil {
 		o.Modifiers = []byte{0}
 	}
-	return &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogInterval), connectionsByHost: map[string]int{},
+	f := &Front{opts: o, log: lograte.New(o.Log, o.Limits.LogInterval), connectionsByHost: map[string]int{},
 		slots:    connlimit.New(o.Limits.UwsgiConnections, o.Limits.NewConnectionGrace, o.Limits.IdleConnectionGrace),
 		idPrefix: "uwsgi-" + strconv.FormatUint(rand.Uint64(), 36) + "-"}
+	f.SetMapper(o.Mapper)
+	return f
+}
+
+// SetMapper replaces the mapper, for requests that are read from now on and for retries of those in flight. The core must have
+// its classes before the call.
+func (f *Front) SetMapper(m Mapper) { f.mapper.Store(&m) }
+
+// mapRequest classifies a request by the mapper in force.
+func (f *Front) mapRequest(vars packet.Vars, q *node.Request) (status int) {
+	return (*f.mapper.Load()).Map(vars.Get, q)
+}
+
+// mayRunAgain reports whether a submitted request may be sent to a server although one may have run it. The class that it has by
+// the mapper in force counts too, if it has one.
+func (f *Front) mayRunAgain(id string, vars packet.Vars) bool {
+	var now node.Request
+	return f.mapRequest(vars, &now) == 0 && f.opts.Core.MayRunAgain(id, now.Class)
 }
 
 // Serve accepts connections on ln and blocks until ln is closed.
--- a/internal/frontend/uwsgi/serve.go
+++ b/internal/frontend/uwsgi/serve.go
@@ -45,7 +45,7 @@
 	}
 	q := node.Request{Protocol: "uwsgi", Runner: f.opts.Pool, ArrivedAt: m.arrivedAt, CallerID: callerID(host), Tenant: -1,
 		AttemptTimeout: f.clientTimeout(m.vars)}
-	if status := f.opts.Mapper.Map(m.vars.Get, &q); status != 0 {
+	if status := f.mapRequest(m.vars, &q); status != 0 {
 		f.writeResponse(conn, nil, statusResponse(status, 0))
 		return
 	}
@@ -113,7 +113,8 @@
 	keyed := q.IdempotencyKey != ""
 	lim, maxBody := f.bodyLimits(keyed)
 	r := &clientRequest{head: m.head, headOnly: m.vars.Get("REQUEST_METHOD") == http.MethodHead,
-		streamable: !keyed, client: conn, body: newBodyReader(conn, m.framing, lim, maxBody, f.opts.HalfCloseCancels)}
+		mayRunAgain: func() bool { return f.mayRunAgain(q.ID, m.vars) },
+		streamable:  !keyed, client: conn, body: newBodyReader(conn, m.framing, lim, maxBody, f.opts.HalfCloseCancels)}
 	if m.framing.Length > maxBody {
 		f.rejectBody(conn, r.body, packet.ErrOversize)
 		return
--- a/internal/frontend/uwsgi/submit.go
+++ b/internal/frontend/uwsgi/submit.go
@@ -23,7 +23,6 @@
 // submit submits a request to the node, writes the response, and returns the request's outcome.
 func (f *Front) submit(conn net.Conn, q *node.Request, r *clientRequest) (outcome string) {
 	r.beginResponse = func() bool { return f.opts.Core.BeginResponse(q.ID) }
-	r.mayRunAgain = func() bool { return f.opts.Core.MayRunAgain(q.ID) }
 	r.deadline = time.Now().Add(clock.System{}.Until(f.runDeadline(q))) // with a monotonic reading, for the pool
 	answers := make(chan node.Response, 1)
 	f.opts.Pool.addRequest(q.ID, r)
--- a/internal/node/repeat.go
+++ b/internal/node/repeat.go
@@ -5,21 +5,22 @@
 // Repeats by the back end. A run, or part of one, may be made again only if the request is idempotent both by the
 // semantics under which it was read and by those in force:
 //
-//	may run again = read as idempotent and its class is idempotent now
+//	may run again = read as idempotent and its class, and the class that it would have now, are idempotent now
 //
-// SIGHUP may change the class while the request is in flight. A request that was read as idempotent is not run again
+// SIGHUP may change the class, or move an operation to another class, while the request is in flight. A request that was read as idempotent is not run again
 // once its class is not, since the operators say that a second run does harm; one that was not stays so, since its
 // caller was told nothing else. Back ends ask each time, so that none keeps a copy of the classes.
 
-// MayRunAgain reports whether a request in flight may be run again although it may have run.
-func (n *Node) MayRunAgain(id string) bool {
+// MayRunAgain reports whether a request in flight may be run again although it may have run. classNow is the class that
+// the request would have if it were read now.
+func (n *Node) MayRunAgain(id string, classNow int) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := n.byID[id]
-	return r != nil && n.mayRunAgain(r)
+	return r != nil && n.mayRunAgain(r) && n.classIsIdempotent(classNow)
 }
 
-// mayRunAgain implements MayRunAgain; the caller holds mu.
+// mayRunAgain is MayRunAgain for a request whose class can't change; the caller holds mu.
 func (n *Node) mayRunAgain(r *request) bool {
 	return r.Idempotency == logic.Idempotent && n.classIsIdempotent(r.Class)
 }
--- a/internal/platform/apispec/openapi.go
+++ b/internal/platform/apispec/openapi.go
@@ -39,15 +39,17 @@
 	Tenant         string   `json:"tenant"`    // header:NAME or query:NAME of the tenant
 	RetryMarker    string   `json:"retry"`     // header:NAME or query:NAME that is present on retries
 
-	class int
+	name         string // method and path
+	class        int
+	idempotency  logic.Idempotency
+	priorityRank float64
 }
 
-// Operations maps uwsgi requests to classes. It is safe for concurrent use.
+// Operations maps uwsgi requests to classes. It is immutable, so it is safe for concurrent use.
 type Operations struct {
-	router        routers.Router
-	operations    map[*openapi3.Operation]*operation
-	tenants       map[string]int
-	priorityRanks []float64 // by class
+	router     routers.Router
+	operations map[*openapi3.Operation]operation
+	tenants    map[string]int
 }
 
 // Load reads an OpenAPI document and checks it against the settings. It sets the priority weights of classes in cfg where the document
@@ -62,32 +64,67 @@
 		return nil, err
 	}
 	doc.Servers = nil // match paths independent of the server's address
-	o := &Operations{operations: map[*openapi3.Operation]*operation{}, tenants: tenants}
+	o := &Operations{operations: map[*openapi3.Operation]operation{}}
 	if o.router, err = gorillamux.NewRouter(doc); err != nil {
 		return nil, err
 	}
 	for path, item := range doc.Paths.Map() {
 		for method, op := range item.Operations() {
-			described, err := readOperation(op, cfg, classes)
+			described, err := readOperation(op)
 			if err != nil {
 				return nil, fmt.Errorf("%s %s: %w", method, path, err)
 			}
 			if described != nil {
-				o.operations[op] = described
+				described.name = method + " " + path
+				o.operations[op] = *described
 			}
 		}
 	}
 	if len(o.operations) == 0 {
 		return nil, fmt.Errorf("no operation has the extension %s", extension)
 	}
-	o.setRanks(cfg.Classes)
-	return o, nil
+	return o.ForSettings(cfg, classes, tenants)
 }
 
-// setRanks divides the interval from 0 to 1 into equal parts, one per class in ascending order of priority weight, and sets the rank of
-// each class to the middle of its part.
-func (o *Operations) setRanks(classes []logic.Class) {
-	o.priorityRanks = make([]float64, len(classes))
+// ForSettings returns the same operations for other settings, after it has checked them against these. It sets the priority weights of
+// classes in cfg where the document gives them.
+func (o *Operations) ForSettings(cfg *logic.Settings, classes, tenants map[string]int) (*Operations, error) {
+	checked := o.withIndices(classes, tenants)
+	for _, op := range checked.operations {
+		if _, known := classes[op.Class]; !known {
+			return nil, fmt.Errorf("%s: %s: class %q is not in the settings", op.name, extension, op.Class)
+		}
+		if err := op.check(&cfg.Classes[op.class]); err != nil {
+			return nil, fmt.Errorf("%s: %w", op.name, err)
+		}
+	}
+	ranks := priorityRanks(cfg.Classes)
+	for doc, op := range checked.operations {
+		op.priorityRank = ranks[op.class]
+		checked.operations[doc] = op
+	}
+	return checked, nil
+}
+
+// ForMergedSettings returns the same operations with the indices that their classes and the tenants have once the settings that they were
+// checked against are merged with the running ones (package reconfigure). Each class must have an index.
+func (o *Operations) ForMergedSettings(classes, tenants map[string]int) *Operations {
+	return o.withIndices(classes, tenants)
+}
+
+func (o *Operations) withIndices(classes, tenants map[string]int) *Operations {
+	indexed := &Operations{router: o.router, operations: map[*openapi3.Operation]operation{}, tenants: tenants}
+	for doc, op := range o.operations {
+		op.class = classes[op.Class]
+		indexed.operations[doc] = op
+	}
+	return indexed
+}
+
+// priorityRanks divides the interval from 0 to 1 into equal parts, one per class in ascending order of priority weight, and returns the
+// middle of each class's part.
+func priorityRanks(classes []logic.Class) []float64 {
+	ranks := make([]float64, len(classes))
 	for i, c := range classes {
 		below := 0
 		for j, other := range classes {
@@ -95,12 +132,13 @@
 				below++
 			}
 		}
-		o.priorityRanks[i] = (float64(below) + 0.5) / float64(len(classes))
+		ranks[i] = (float64(below) + 0.5) / float64(len(classes))
 	}
+	return ranks
 }
 
 // readOperation parses an operation's extension. It returns nil if the operation has none.
-func readOperation(operationDoc *openapi3.Operation, cfg *logic.Settings, classes map[string]int) (*operation, error) {
+func readOperation(operationDoc *openapi3.Operation) (*operation, error) {
 	value, found := operationDoc.Extensions[extension]
 	if !found {
 		return nil, nil
@@ -116,21 +154,18 @@
 		return nil, fmt.Errorf("%s: %w", extension, err)
 	}
 	var known bool
-	if op.class, known = classes[op.Class]; !known {
-		return nil, fmt.Errorf("%s: class %q is not in the settings", extension, op.Class)
+	if op.idempotency, known = settings.ParseIdempotency(op.Semantics); !known {
+		return nil, fmt.Errorf("%s: unknown semantics %q: must be one of retryable, dedup, fragile", extension, op.Semantics)
 	}
-	return op, op.check(&cfg.Classes[op.class])
+	return op, nil
 }
 
 // check validates the extension against its class. If the extension has a priority weight, check sets it in the class.
 func (op *operation) check(class *logic.Class) error {
-	idempotency, known := settings.ParseIdempotency(op.Semantics)
 	switch {
-	case !known:
-		return fmt.Errorf("%s: unknown semantics %q: must be one of retryable, dedup, fragile", extension, op.Semantics)
-	case idempotency != class.Idempotency:
+	case op.idempotency != class.Idempotency:
 		return fmt.Errorf("%s: semantics %q differs from that of class %s in the settings", extension, op.Semantics, op.Class)
-	case idempotency == logic.IdempotentByKey && op.Key == "":
+	case op.idempotency == logic.IdempotentByKey && op.Key == "":
 		return fmt.Errorf("%s: semantics dedup requires key", extension)
 	case op.WorkMS < 0 || op.MemoryKB < 0 || op.PriorityWeight != nil && *op.PriorityWeight < 0:
 		return fmt.Errorf("%s: work-ms, kb and worth must not be negative", extension)
@@ -157,12 +192,15 @@
 	if errors.Is(err, routers.ErrMethodNotAllowed) {
 		return http.StatusMethodNotAllowed
 	}
-	if err != nil || o.operations[route.Operation] == nil {
+	if err != nil {
+		return http.StatusNotFound
+	}
+	op, described := o.operations[route.Operation]
+	if !described {
 		return http.StatusNotFound
 	}
-	op := o.operations[route.Operation]
 	query := at.Query()
-	q.Class, q.PriorityRank = op.class, o.priorityRanks[op.class]
+	q.Class, q.Idempotency, q.PriorityRank = op.class, op.idempotency, op.priorityRank
 	q.WorkHint = time.Duration(op.WorkMS * float64(time.Millisecond))
 	if op.MemoryKB > 0 {
 		q.MemoryKB = op.MemoryKB
--- a/internal/platform/apispec/openapi_test.go
+++ b/internal/platform/apispec/openapi_test.go
@@ -52,7 +52,7 @@
 		{"unknown tenant", map[string]string{"REQUEST_METHOD": "GET", "PATH_INFO": "/slots/5", "HTTP_X_TENANT": "other"}, 0,
 			node.Request{Class: 0, Tenant: -1, MemoryKB: 20, WorkHint: 12500 * time.Microsecond, PriorityRank: 0.25}},
 		{"booking", map[string]string{"REQUEST_METHOD": "POST", "REQUEST_URI": "/book?opkey=k", "QUERY_STRING": "opkey=k"}, 0,
-			node.Request{Class: 1, Tenant: -1, MemoryKB: 1, PriorityRank: 0.75, IdempotencyKey: "k"}},
+			node.Request{Class: 1, Tenant: -1, MemoryKB: 1, PriorityRank: 0.75, IdempotencyKey: "k", Idempotency: logic.IdempotentByKey}},
 		{"booking without its key", map[string]string{"REQUEST_METHOD": "POST", "PATH_INFO": "/book"}, 400, node.Request{}},
 		{"key too long", map[string]string{"REQUEST_METHOD": "POST", "PATH_INFO": "/book", "QUERY_STRING": "opkey=" + strings.Repeat("k", 257)}, 400, node.Request{}},
 		{"operation without the extension", map[string]string{"REQUEST_METHOD": "GET", "PATH_INFO": "/book"}, 404, node.Request{}},
