Judge a request in flight by its semantics as read too, not only by those in force

Callers could see: a request that was read as fragile and has run is answered 'rejected', which invites them to send it again, if SIGHUP makes its class retryable meanwhile; its call that may have run is made again; its run is stopped; a second request with its id is rejected instead of failed.

These places ask the class in force, which says nothing of the semantics under which the caller sent the request.

node and logic keep the semantics as read with each request, and one function in each, mayRunAgain, says whether both allow a repeat. The arrival carries the semantics, since settings may reach the decisions before an arrival that was read under the earlier ones.

--- a/internal/node/dependency.go
+++ b/internal/node/dependency.go
@@ -35,7 +35,7 @@
 	}
 	r.callInFlight = true
 	number := r.number
-	once := n.opts.Settings.Classes[r.Class].Idempotency != logic.Idempotent
+	once := !n.mayRunAgain(r)
 	done := func(outcome admission.Outcome, elapsed time.Duration, reply []byte) {
 		n.callEnded(number, outcome, elapsed, reply)
 	}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -22,18 +22,27 @@
 func (c *fixedClock) Now() time.Time { return c.now }
 
 // recorder is a Runner and a DependencyClient that records the commands it receives.
-type recorder struct{ commands []string }
+type recorder struct {
+	commands []string
+	once     []string // the starts and calls that must not be repeated
+}
 
-func (r *recorder) record(command, id string)            { r.commands = append(r.commands, command+" "+id) }
-func (r *recorder) Start(id, _ string, _ []byte, _ bool) { r.record("start", id) }
-func (r *recorder) Stop(id string)                       { r.record("stop", id) }
-func (r *recorder) Resume(id string)                     { r.record("resume", id) }
-func (r *recorder) DeliverReply(id string, _ []byte)     { r.record("deliver", id) }
-func (r *recorder) SkipCall(id string, _ uint64)         { r.record("skip", id) }
-func (r *recorder) String() string                       { return strings.Join(r.commands, ", ") }
-func (r *recorder) Cancel(id string)                     { r.record("cancel", id) }
-func (r *recorder) Call(id string, _ time.Duration, _ []byte, _ bool, done func(admission.Outcome, time.Duration, []byte)) {
-	r.record("call", id)
+func (r *recorder) record(command, id string) { r.commands = append(r.commands, command+" "+id) }
+func (r *recorder) recordOnce(command, id string, once bool) {
+	r.record(command, id)
+	if once {
+		r.once = append(r.once, command)
+	}
+}
+func (r *recorder) Start(id, _ string, _ []byte, once bool) { r.recordOnce("start", id, once) }
+func (r *recorder) Stop(id string)                          { r.record("stop", id) }
+func (r *recorder) Resume(id string)                        { r.record("resume", id) }
+func (r *recorder) DeliverReply(id string, _ []byte)        { r.record("deliver", id) }
+func (r *recorder) SkipCall(id string, _ uint64)            { r.record("skip", id) }
+func (r *recorder) String() string                          { return strings.Join(r.commands, ", ") }
+func (r *recorder) Cancel(id string)                        { r.record("cancel", id) }
+func (r *recorder) Call(id string, _ time.Duration, _ []byte, once bool, done func(admission.Outcome, time.Duration, []byte)) {
+	r.recordOnce("call", id, once)
 }
 
 // harness is a Node for which the test makes the decisions: Node.Run is not called and the admission controller is
--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -146,5 +146,5 @@
 
 // mayHaveRun reports whether the request is not idempotent and was passed to its runner.
 func (n *Node) mayHaveRun(r *request) bool {
-	return r.stage == stageRunning && n.opts.Settings.Classes[r.Class].Idempotency != logic.Idempotent
+	return r.stage == stageRunning && !n.mayRunAgain(r)
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -84,8 +84,7 @@
 	n.trace("started", r)
 	n.counts.Started++
 	n.countsOf(r).Started++
-	class := &n.opts.Settings.Classes[r.Class]
-	r.Runner.Start(r.ID, class.Name, r.Body, class.Idempotency != logic.Idempotent)
+	r.Runner.Start(r.ID, n.opts.Settings.Classes[r.Class].Name, r.Body, !n.mayRunAgain(r))
 	if r.paused { // while its start was being recorded
 		r.Runner.Stop(r.ID)
 	}
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -42,11 +42,12 @@
 // be recognized.
 func (n *Node) rejectUntrackable(r *request) bool {
 	idempotency := n.opts.Settings.Classes[r.Class].Idempotency
-	duplicate := n.byID[r.ID] != nil
+	inFlight := n.byID[r.ID]
+	duplicate := inFlight != nil
 	full := len(n.byNumber) >= n.opts.Limits.MaxInFlight
 	keyMissing := idempotency == logic.IdempotentByKey && r.IdempotencyKey == ""
 	switch {
-	case duplicate && idempotency != logic.Idempotent:
+	case duplicate && (!n.mayRunAgain(inFlight) || !n.mayRunAgain(r)):
 		// The first request with that ID may have run, but a rejection would promise that it did not.
 		n.trace("request id already in flight", r)
 		n.respond(r, Response{Status: StatusFailed})
@@ -73,6 +74,7 @@
 		Retry:          r.Retry,
 		PriorityRank:   r.PriorityRank,
 		CallerID:       r.CallerID,
+		Idempotency:    r.Idempotency,
 	}
 	if r.IdempotencyKey != "" {
 		if original := n.keys.original(r); original != nil {
--- a/logic/api.go
+++ b/logic/api.go
@@ -141,6 +141,7 @@
 	PriorityRank   float64   // rank among all requests by weight, from 0 to just under 1
 	OriginalID     RequestID // earlier attempt with the same key; 0: none
 	CallerID       int
+	Idempotency    Idempotency // under which it was read; Idempotent: that of its class at the arrival
 }
 
 // Gauges are the server's own measurements. A negative value means that the gauge was not measured.
--- a/logic/callbudget.go
+++ b/logic/callbudget.go
@@ -116,7 +116,7 @@
 	timeout := r.deadline - s.now
 	shared := s.cfg.CallConcurrencyLimit > 0
 	if c := s.classes[r.Class]; s.callTime.Samples > 0 {
-		if c.Idempotency == Idempotent { // if the reply is lost, the call can be retried or skipped
+		if s.mayRunAgain(r) { // if the reply is lost, the call can be retried or skipped
 			share := min(1, s.cfg.CallConcurrencyLimit) * callObjectiveShare
 			maxDuration := max(callWaitFactor*s.callTime.Mean, share*float64(c.LatencyObjective))
 			timeout = min(timeout, max(timerSteps*s.cfg.StepInterval, Micros(maxDuration)))
--- a/logic/calls.go
+++ b/logic/calls.go
@@ -56,11 +56,11 @@
 		r.callBlockedUntil = s.now + max(minBackoff, Micros(backoff))
 	}
 	switch {
-	case !shared && c.Idempotency == Idempotent && r.failedCalls <= maxCallRetries:
+	case !shared && s.mayRunAgain(r) && r.failedCalls <= maxCallRetries:
 		// The call stays pending.
 	case c.DegradedWeightShare > 0:
 		s.skipCall(r)
-	case !neverRan && c.Idempotency != Idempotent:
+	case !neverRan && !s.mayRunAgain(r):
 		s.rejectOrFail(r)
 	}
 }
--- a/logic/deadline.go
+++ b/logic/deadline.go
@@ -27,7 +27,7 @@
 		return
 	}
 	for _, r := range s.active {
-		stoppable := r.answered && r.state == stateRunning && s.classes[r.Class].Idempotency == Idempotent
+		stoppable := r.answered && r.state == stateRunning && s.mayRunAgain(r)
 		if stoppable && s.now-r.stopRequestedAt > minStallGap { // repeated, as a stalled server stops nothing
 			r.stopRequestedAt = s.now
 			s.emit(Action{Kind: ActionStop, ID: r.id})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -94,6 +94,9 @@
 	c := s.classes[a.Class]
 	r := &request{Arrival: a, id: ev.ID, arrivedAt: s.now - a.Age, deadline: s.now + a.AttemptTimeout,
 		sampleWeight: runTimeSampleWeight}
+	if r.Idempotency == Idempotent {
+		r.Idempotency = c.Idempotency
+	}
 	if a.AttemptTimeout == 0 {
 		r.deadline = max(s.now, r.arrivedAt+c.ClientTimeout)
 	}
--- a/logic/request.go
+++ b/logic/request.go
@@ -48,6 +48,12 @@
 	requestMemoryKB float64    // kilobytes of queued and running requests
 }
 
+// mayRunAgain reports whether a request may run, or make a call, more than once. Reconfigure may change its
+// class: it must have been idempotent when the request was read, and be so now.
+func (s *Server) mayRunAgain(r *request) bool {
+	return r.Idempotency == Idempotent && s.classes[r.Class].Idempotency == Idempotent
+}
+
 // startRun starts a queued request.
 func (s *Server) startRun(r *request) {
 	s.queue = removeFrom(s.queue, r)
--- a/logic/shedding.go
+++ b/logic/shedding.go
@@ -62,7 +62,7 @@
 	if elapsed := float64(s.now - r.startedAt); r.state == stateRunning && elapsed > s.expectedRunTime(r) {
 		s.recordRunTime(r, elapsed) // lower bound of its run time
 	}
-	if r.state == stateQueued || s.classes[r.Class].Idempotency == Idempotent {
+	if r.state == stateQueued || s.mayRunAgain(r) {
 		s.rejectedShare.add(1, 1.0/recentArrivalCount)
 		s.emit(Action{Kind: ActionReject, ID: r.id, Duration: s.retryAfter(), NoFailover: s.failoverFutile()})
 	} else {
