Ask the node before a start is sent to the runtime a second time

Callers could see a request run twice in the runtime: the link sends the start of an idempotent run again if a broken connection may have lost it, also after SIGHUP has made its class fragile.

Cause: the same copy as in the uwsgi pool. The link kept what Start was told, and a second start may wait in the queue for as long as the runtime is away.

The second start is marked in the queue, and the node is asked just before the write. If the run may not start twice now, the start is left out and reported as unconfirmed, like that of any run that must not start twice. What Start was told stays as the first condition: it holds the semantics as read.

--- a/internal/backend/runtime/commands.go
+++ b/internal/backend/runtime/commands.go
@@ -10,6 +10,9 @@
 type queuedCommand struct {
 	line []byte
 	run  *runState // the run that the command starts, or continues after a call; nil for any other command
+	// secondStart is the id of the run if the command starts it and was written before, to a connection that broke; empty
+	// otherwise.
+	secondStart string
 }
 
 // enqueue queues a command; the caller holds mu.
@@ -20,7 +23,7 @@
 	if r != nil {
 		r.line, r.writtenOnGeneration, r.readByGauges = line, 0, l.gaugesRequested+1
 	}
-	l.queue = append(l.queue, queuedCommand{line, r})
+	l.queue = append(l.queue, queuedCommand{line: line, run: r})
 	l.cond.Broadcast()
 }
 
@@ -42,7 +45,8 @@
 	l.enqueueForRun(r, line)
 }
 
-// Start starts a run. once marks a run that must not be started twice.
+// Start starts a run. once marks a run that must not be started twice. Any other is started a second time only if
+// Events.MayRunAgain allows it then.
 func (l *Link) Start(id, class string, body []byte, once bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/backend/runtime/link.go
+++ b/internal/backend/runtime/link.go
@@ -18,7 +18,8 @@
 	"sloehitch/internal/platform/lograte"
 )
 
-// Events receives the events of runs. Its methods are called from the link's goroutine and must not block.
+// Events receives the events of runs. Its methods are called from the link's goroutines and must not block. They are
+// called without the link's lock, so they may lock what is locked while methods of the link are called.
 type Events interface {
 	// RunEnded reports that a run has ended, with its outcome, duration and result.
 	RunEnded(id string, o admission.Outcome, took time.Duration, result []byte)
@@ -28,6 +29,8 @@
 	// the run or, if call is not 0, the reply to the call that the notice of that number requested. The command is
 	// not sent again.
 	DeliveryUnconfirmed(id string, call uint64)
+	// MayRunAgain reports whether a run may be started a second time, by the semantics in force now.
+	MayRunAgain(id string) bool
 }
 
 // Options configure a link.
--- a/internal/backend/runtime/link_test.go
+++ b/internal/backend/runtime/link_test.go
@@ -31,6 +31,20 @@
 
 	mu          sync.Mutex
 	unconfirmed []unconfirmedCommand
+	forbidden   map[string]bool // runs that must not be started twice
+}
+
+func (e *fakeEvents) MayRunAgain(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.forbidden[id]
+}
+
+// forbid makes a run one that must not be started twice.
+func (e *fakeEvents) forbid(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forbidden = map[string]bool{id: true}
 }
 
 func (e *fakeEvents) RunEnded(id string, o admission.Outcome, _ time.Duration, result []byte) {
--- a/internal/backend/runtime/reconnect_test.go
+++ b/internal/backend/runtime/reconnect_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -318,3 +319,50 @@
 		}
 	}
 }
+
+// TestSecondStartIsNotSentOnceRunIsNotIdempotent guards against a run that is started twice after its class was made fragile: the link
+// kept what Start was told, also for a second start that waited in the queue while the runtime was away.
+func TestSecondStartIsNotSentOnceRunIsNotIdempotent(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		whileInQueue bool // the change comes when the second start is in the queue already
+	}{
+		{"before the decision", false},
+		{"while the second start is queued", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, e, ln := startScriptedLink(t, nil)
+			p, _ := nextPeer(t, ln)
+			p.send(ready)
+			l.Start("a", "search", nil, false)
+			l.Start("b", "search", nil, false)
+			p.read()
+			p.read()
+			_ = p.Close()
+			p, _ = nextPeer(t, ln)
+			waitFor(t, l, func() bool { return l.generation == 2 && l.conn != nil }) // connected, but not ready
+			if c.whileInQueue {
+				l.decideRedelivery()
+			}
+			e.forbid("a")
+			p.send(ready)
+			started := map[string]int{}
+			for command := p.read(); command.UID != "marker"; command = p.read() {
+				if command.Action == "start" {
+					started[command.UID]++
+				}
+				if command.Echo == echoResumed {
+					p.send(`{"action":"load","echo":%q,"meters":[]}`, echoResumed)
+					waitFor(t, l, func() bool { return l.redeliveryDecided })
+					l.Resume("marker")
+				}
+			}
+			if started["a"] != 0 || started["b"] == 0 {
+				t.Errorf("starts on the second connection: %v; want only b, which may run twice", started)
+			}
+			if got := e.reported(); !slices.Equal(got, []unconfirmedCommand{unconfirmedStart("a")}) {
+				t.Errorf("reported as unconfirmed: %v, want the start of a", got)
+			}
+		})
+	}
+}
--- a/internal/backend/runtime/resume.go
+++ b/internal/backend/runtime/resume.go
@@ -55,7 +55,11 @@
 		r.abandoned = append(r.abandoned, id)
 	case action == redelivery.Redeliver:
 		run.readByGauges = l.gaugesRequested + 1
-		l.queue = append(l.queue, queuedCommand{run.line, run})
+		command := queuedCommand{line: run.line, run: run}
+		if run.kind == redelivery.Start {
+			command.secondStart = id
+		}
+		l.queue = append(l.queue, command)
 	case !read: // Await: report the command once, unless an echo proves that the runtime read it
 		run.line = nil
 		r.unconfirmed = append(r.unconfirmed, unconfirmedCommand{id, run.answeredCall()})
--- a/internal/backend/runtime/writer.go
+++ b/internal/backend/runtime/writer.go
@@ -4,6 +4,8 @@
 	"net"
 	"slices"
 	"time"
+
+	"sloehitch/internal/backend/runtime/redelivery"
 )
 
 func (l *Link) writeWithDeadline(conn net.Conn, b []byte) (int, error) {
@@ -21,6 +23,7 @@
 		if commands == nil {
 			return
 		}
+		commands = l.withoutForbiddenStarts(commands)
 		batch = batch[:0]
 		for _, q := range commands {
 			batch = append(batch, q.line...)
@@ -51,6 +54,33 @@
 	return commands
 }
 
+// withoutForbiddenStarts returns the commands without the second starts of runs that must no longer be started twice. They
+// are asked about as late as this, since they may have been in the queue for as long as the runtime was away. The runs of
+// those left out are reported as unconfirmed.
+func (l *Link) withoutForbiddenStarts(commands []queuedCommand) []queuedCommand {
+	return slices.DeleteFunc(commands, func(q queuedCommand) bool {
+		if q.secondStart == "" || l.events.MayRunAgain(q.secondStart) {
+			return false
+		}
+		if l.forgetStart(q.run) {
+			l.opts.Log.Info("start that an earlier connection may have lost is not sent again: its run is no longer idempotent", "request", q.secondStart)
+			l.events.DeliveryUnconfirmed(q.secondStart, 0)
+		}
+		return true
+	})
+}
+
+// forgetStart gives up the start of a run, and reports whether no notice of the run has shown meanwhile that it arrived.
+func (l *Link) forgetStart(r *runState) (unconfirmed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.kind != redelivery.Start || r.line == nil {
+		return false
+	}
+	r.line = nil
+	return true
+}
+
 // takeQueue removes all commands from the queue for the current connection. The caller holds mu, and must write
 // them or put them back.
 func (l *Link) takeQueue() []queuedCommand {
--- a/internal/daemon/reload_semantics_test.go
+++ b/internal/daemon/reload_semantics_test.go
@@ -68,6 +68,36 @@
 	servers.expect(t, "break out", out, mayHaveRun, 1)
 }
 
+// TestStartThatMayBeLostIsNotSentAgainOnceFragile guards against a second run in the runtime: the link to it sends a start again that
+// a broken connection may have lost, and kept what the class allowed when the run was started.
+func TestStartThatMayBeLostIsNotSentAgainOnceFragile(t *testing.T) {
+	for _, c := range []struct {
+		semantics, want string
+		starts          int
+	}{{"retryable", "ACK", 1}, {"fragile", "FAIL", 0}} {
+		t.Run(c.semantics, func(t *testing.T) {
+			shortDeadline := func(semantics string) rigFiles {
+				return rigFiles{withoutUwsgi: true, classes: strings.Replace(rigClass("search", semantics), "60000000", "2000000", 1)}
+			}
+			rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+			r := serveFiles(t, shortDeadline("retryable"), rt.Address)
+			<-rt.Syncs
+			b := standin.Dial(t, r.address)
+			defer b.Close()
+			dropped := rt.DropCommands() // the runtime reads the start, and the node can't know that it is not carried out
+			b.Do(1, "search", standin.RequestID(1), time.Now(), "body", "")
+			standin.WaitFor(t, "the start is written", func() bool { return rt.DroppedCommands() > dropped })
+			if !r.reload(shortDeadline(c.semantics)) {
+				t.Fatal("the files were rejected")
+			}
+			rt.Disconnect()
+			if got := b.Read(); len(got) < 2 || got[1] != c.want || rt.Runs("body") != c.starts {
+				t.Errorf("answer %q after %d starts, want %s after %d", got, rt.Runs("body"), c.want, c.starts)
+			}
+		})
+	}
+}
+
 // TestDescriptionIsAppliedAtReload guards against a front that goes on with the OpenAPI document of the start: after SIGHUP an operation
 // moved to a fragile class was still retried and ran twice, each keyed request of a class that had become dedup was answered 503 as
 // its key was not read, and a new operation was answered 404.
--- a/internal/frontend/uwsgi/front.go
+++ b/internal/frontend/uwsgi/front.go
@@ -30,9 +30,9 @@
 	BeginResponse(id string) bool
 	// RejectionStatusOf returns the status for a request that can't be submitted.
 	RejectionStatusOf(q *node.Request) node.Status
-	// MayRunAgain reports whether a submitted request, which would be of the given class if it were read now, may be run
+	// MayRunAgainAs reports whether a submitted request, which would be of the given class if it were read now, may be run
 	// again although it may have run.
-	MayRunAgain(id string, classNow int) bool
+	MayRunAgainAs(id string, classNow int) bool
 }
 
 // Mapper classifies a request by its variables. It sets the class, tenant, key and hints, and returns 0, or the HTTP status with
@@ -110,7 +110,7 @@
 // the mapper in force counts too, if it has one.
 func (f *Front) mayRunAgain(id string, vars packet.Vars) bool {
 	var now node.Request
-	return f.mapRequest(vars, &now) == 0 && f.opts.Core.MayRunAgain(id, now.Class)
+	return f.mapRequest(vars, &now) == 0 && f.opts.Core.MayRunAgainAs(id, now.Class)
 }
 
 // Serve accepts connections on ln and blocks until ln is closed.
--- a/internal/node/repeat.go
+++ b/internal/node/repeat.go
@@ -11,16 +11,23 @@
 // once its class is not, since the operators say that a second run does harm; one that was not stays so, since its
 // caller was told nothing else. Back ends ask each time, so that none keeps a copy of the classes.
 
-// MayRunAgain reports whether a request in flight may be run again although it may have run. classNow is the class that
-// the request would have if it were read now.
-func (n *Node) MayRunAgain(id string, classNow int) bool {
+// MayRunAgain reports whether a request in flight may be run again although it may have run.
+func (n *Node) MayRunAgain(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := n.byID[id]
+	return r != nil && n.mayRunAgain(r)
+}
+
+// MayRunAgainAs is MayRunAgain for a request that would be of the given class if it were read now.
+func (n *Node) MayRunAgainAs(id string, classNow int) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r := n.byID[id]
 	return r != nil && n.mayRunAgain(r) && n.classIsIdempotent(classNow)
 }
 
-// mayRunAgain is MayRunAgain for a request whose class can't change; the caller holds mu.
+// mayRunAgain implements MayRunAgain; the caller holds mu.
 func (n *Node) mayRunAgain(r *request) bool {
 	return r.Idempotency == logic.Idempotent && n.classIsIdempotent(r.Class)
 }
--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -61,7 +61,7 @@
 			if got := fmt.Sprint(h.runner.once); got != c.onceCall {
 				t.Errorf("must not be repeated after a change during the run: %s, want %s", got, c.onceCall)
 			}
-			if got := h.MayRunAgain("a", classRead); got != c.mayRunAgain {
+			if got := h.MayRunAgain("a"); got != c.mayRunAgain {
 				t.Errorf("may run again %v, want %v", got, c.mayRunAgain)
 			}
 			h.decide("a", admission.Reject)
@@ -84,7 +84,7 @@
 func TestOperationMovedToOtherClassCounts(t *testing.T) {
 	h := newHarness(t)
 	h.submit("a", classRead, "", 0)
-	if h.MayRunAgain("a", classMove) || !h.MayRunAgain("a", classRead) || h.MayRunAgain("unknown", classRead) {
+	if h.MayRunAgainAs("a", classMove) || !h.MayRunAgainAs("a", classRead) || h.MayRunAgainAs("unknown", classRead) || h.MayRunAgain("unknown") {
 		t.Error("want a request to run again only if both classes are idempotent, and never one that is not in flight")
 	}
 }
