Keep keys and windows in use when SIGHUP changes their class

Callers could see a booking run twice within its window: after SIGHUP had made a dedup class retryable or fragile, the repeat of a key that had run, or was in flight, was run again. A request whose body was still arriving lost its key the same way, and the record of a run that ended after the reload had the window of the new settings, 0 s, so the next process would have run the key again.

Cause: the key of an attempt was dropped, and its window taken, by the class in force alone.

An attempt is keyed if its class is now, or was when it was read, or if its key is in use in that class, here or in another process of the node. The window is the longest of the class since the attempt was read; a class without a window in new settings keeps its own. The front can't know keys that the description no longer names: the log warns of each such operation.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -108,6 +108,9 @@
 	names.Classes = plan.ClassIndex
 	p.Logic, p.Names = plan.Settings, &names
 	if operations != nil {
+		if changed := operations.WithoutFormerKey(d.operations); len(changed) > 0 {
+			d.log.Warn("operations no longer read the idempotency key that they did; a repeat of a request from before is taken for a new one", "operations", changed)
+		}
 		d.operations = operations.ForMergedSettings(names.Classes, names.Tenants)
 		d.uwsgi.SetMapper(d.operations)
 	}
--- a/internal/daemon/reload_semantics_test.go
+++ b/internal/daemon/reload_semantics_test.go
@@ -162,6 +162,33 @@
 	servers.expect(t, "without", r.post("/book", "without"), "400 Bad Request", 0)
 }
 
+// TestKeyThatRanIsKeptWhileDescriptionNamesIt guards against a second run of a key within its window after a reload that made its class
+// fragile or retryable. If the description no longer names the key, the node can't know it, and the log says so.
+func TestKeyThatRanIsKeptWhileDescriptionNamesIt(t *testing.T) {
+	const key = `, key: "header:Idempotency-Key"`
+	const warning = `msg="operations no longer read the idempotency key that they did; a repeat of a request from before is taken for a new one" operations="[POST /book]"`
+	for _, semantics := range []string{"retryable", "fragile"} {
+		t.Run(semantics, func(t *testing.T) {
+			servers := newBreakingServers(t)
+			r := serveFiles(t, oneClass("dedup", key), "", servers.addresses...)
+			servers.expect(t, "booking", r.post("/book", "booking", rigKey("k1")), served, 1)
+			if !r.reload(oneClass(semantics, key)) {
+				t.Fatal("the files were rejected")
+			}
+			servers.expect(t, "booking", r.post("/book", "booking", rigKey("k1")), served, 1)
+			if strings.Contains(r.log.String(), warning) {
+				t.Error("warned although the key is still read")
+			}
+			if !r.reload(oneClass(semantics, "")) {
+				t.Fatal("the files were rejected")
+			}
+			if !strings.Contains(r.log.String(), warning) {
+				t.Errorf("no warning about the key in the log:\n%s", r.log.String())
+			}
+		})
+	}
+}
+
 // TestDescriptionWithoutChangeOfSettingsIsApplied guards against a reload that compares only the text of the settings, so that changed
 // weights and estimates of the OpenAPI document had no effect.
 func TestDescriptionWithoutChangeOfSettingsIsApplied(t *testing.T) {
--- a/internal/node/idempotency.go
+++ b/internal/node/idempotency.go
@@ -12,6 +12,8 @@
 //
 //	window of a key = [arrival of the attempt that ran, arrival + class.IdempotencyWindow + limits.KeyWindowSlack)
 //
+// What holds if the class changes meanwhile is in keyscope.go.
+//
 // The arrival is the caller's time stamp. KeyWindowSlack covers the inaccuracy of clocks and socket time stamps.
 //
 // An attempt is handled by the first line that applies:
@@ -58,7 +60,7 @@
 		n.coalesce(r)
 		return
 	}
-	e.started, e.arrivedAt, e.window = true, r.stampedAt, n.keys.window(r.Class)
+	e.started, e.arrivedAt, e.window = true, r.stampedAt, n.windowOf(r)
 	if n.opts.Journal != nil {
 		n.recordStart(r)
 		return
@@ -124,7 +126,7 @@
 		return
 	}
 	record := n.runRecord(r)
-	record.Ended, record.Succeeded = true, outcome == logic.OutcomeOK
+	record.Window, record.Ended, record.Succeeded = e.window, true, outcome == logic.OutcomeOK
 	if record.ResultStored = record.Succeeded && len(result) <= n.opts.Limits.StoredResultBytes; record.ResultStored {
 		record.Result = result
 	}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -42,7 +42,7 @@
 		Class:       n.opts.Settings.Classes[r.Class].Name,
 		Fingerprint: r.fingerprint,
 		ArrivedAt:   r.stampedAt,
-		Window:      n.keys.window(r.Class),
+		Window:      n.windowOf(r),
 		RequestID:   r.ID,
 		Protocol:    r.Protocol,
 	}
--- a/internal/node/keytable.go
+++ b/internal/node/keytable.go
@@ -37,16 +37,14 @@
 	maxEntries      int
 	freeResultBytes int
 	slack           time.Duration // added to each window
-	window          func(class int) time.Duration
 }
 
-func newKeyTable(maxEntries, maxResultBytes int, slack time.Duration, window func(class int) time.Duration) *keyTable {
+func newKeyTable(maxEntries, maxResultBytes int, slack time.Duration) *keyTable {
 	return &keyTable{
 		entries:         map[string]*keyEntry{},
 		maxEntries:      maxEntries,
 		freeResultBytes: maxResultBytes,
 		slack:           slack,
-		window:          window,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,9 +98,7 @@
 		log:         lograte.New(opts.Log, opts.Limits.LogInterval),
 		tracing:     tracingEnabled(opts.Log),
 	}
-	// Called with n.mu held, so it sees the settings of the latest Reconfigure.
-	window := func(class int) time.Duration { return duration(n.opts.Settings.Classes[class].IdempotencyWindow) }
-	n.keys = newKeyTable(opts.Limits.MaxKeys, opts.Limits.TotalStoredResultBytes, opts.Limits.KeyWindowSlack, window)
+	n.keys = newKeyTable(opts.Limits.MaxKeys, opts.Limits.TotalStoredResultBytes, opts.Limits.KeyWindowSlack)
 	return n
 }
 
@@ -124,6 +122,8 @@
 		}
 	}
 	n.opts.Settings = s
+	n.opts.Settings.Classes = withWindows(old.Classes, s.Classes)
+	n.extendWindows()
 	n.opts.Admission.Reconfigure(s) // with n.mu held, so that no request of a new class is reported before
 	return nil
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -63,6 +63,7 @@
 	callBody        []byte
 	callInFlight    bool
 	fingerprint     [sha256.Size]byte // of a keyed request
+	window          time.Duration     // of its key, when the request was read
 }
 
 // newRequest returns the request in flight for an attempt, which is not registered yet. Its deadline is that of its
@@ -76,9 +77,6 @@
 	if attempt.Idempotency == logic.Idempotent {
 		attempt.Idempotency = class.Idempotency
 	}
-	if class.Idempotency != logic.IdempotentByKey {
-		attempt.IdempotencyKey = ""
-	}
 	r := &request{
 		Request:   attempt,
 		reply:     reply,
@@ -93,6 +91,7 @@
 	if r.deadline.Before(now) {
 		r.deadline = now
 	}
+	n.applyKeyScope(r)
 	return r
 }
 
--- a/internal/platform/apispec/openapi.go
+++ b/internal/platform/apispec/openapi.go
@@ -106,6 +106,23 @@
 	return checked, nil
 }
 
+// WithoutFormerKey returns the sorted names of the operations that read their idempotency key from another place than they did in former,
+// or read none any more.
+func (o *Operations) WithoutFormerKey(former *Operations) []string {
+	keys := map[string]string{}
+	for _, op := range former.operations {
+		keys[op.name] = op.Key
+	}
+	var names []string
+	for _, op := range o.operations {
+		if key := keys[op.name]; key != "" && key != op.Key {
+			names = append(names, op.name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // ForMergedSettings returns the same operations with the indices that their classes and the tenants have once the settings that they were
 // checked against are merged with the running ones (package reconfigure). Each class must have an index.
 func (o *Operations) ForMergedSettings(classes, tenants map[string]int) *Operations {
