Bound the age of time stamps by the deadlines in force, not by those of the start

Callers saw, after a SIGHUP with longer deadlines: a request whose stamp was older than the longest deadline of the start was rejected, once for each clock, although its caller still waited.

Cause: as for the pool's classes, a value of the settings was computed at the start (maxStampAge) and given away.

A reload sets the bound again.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,6 +68,7 @@
 	catalogue  *catalogue.Client // nil without a catalogue
 	directory  *directory.Reporter
 	resp       *resp.Front
+	stamps     *clock.Timestamps   // converts time stamps for resp
 	uwsgi      *uwsgi.Front        // nil if the uwsgi front is off
 	operations *apispec.Operations // that it serves; owned as platform is
 	upstreams  upstreams
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -145,6 +145,7 @@
 	if err := d.node.Reconfigure(plan.Settings); err != nil {
 		return err
 	}
+	d.stamps.SetMaxBehind(maxStampAge(plan.Settings, d.limits))
 	d.resp.SetClasses(plan.ClassIndex)
 	d.log.Info("settings applied", "added", plan.Added, "dropped", plan.Removed, "semantics", plan.Idempotency, "classes", len(plan.Settings.Classes))
 	return nil
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -164,3 +164,30 @@
 		}
 	}
 }
+
+// TestReloadExtendsAgeOfTimestamps guards against rejected requests after a reload with longer deadlines: time stamps were still bounded
+// by the deadlines of the start.
+func TestReloadExtendsAgeOfTimestamps(t *testing.T) {
+	withDeadline := func(micros string) rigFiles {
+		class := strings.Replace(rigClass("search", "retryable"), "60000000", micros, 1)
+		return rigFiles{withoutUwsgi: true, classes: class}
+	}
+	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { return "OK", "r" })
+	r := serveFiles(t, withDeadline("2000000"), rt.Address)
+	<-rt.Syncs
+	b := standin.Dial(t, r.address)
+	defer b.Close()
+	old := 20 * time.Second
+	b.Do(1, "search", standin.RequestID(1), time.Now().Add(-old), "x", "")
+	if got := b.Read(); len(got) < 2 || got[1] == "ACK" {
+		t.Errorf("answer to a stamp beyond the deadlines: %q", got)
+	}
+	if !r.reload(withDeadline("60000000")) {
+		t.Fatal("the files were rejected")
+	}
+	older := old + 10*time.Second // another clock than that of the rejected stamp
+	b.Do(2, "search", standin.RequestID(2), time.Now().Add(-older), "y", "")
+	if got := b.Read(); len(got) < 2 || got[1] != "ACK" {
+		t.Errorf("answer to a stamp within the new deadlines: %q", got)
+	}
+}
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -124,9 +124,10 @@
 
 // startResp starts the platform's front. Without a runtime nothing could run the balancers' requests, so the front accepts no clients.
 func (d *Daemon) startResp() error {
+	d.stamps = clock.NewTimestamps(d.limits.MaxClockAhead, maxStampAge(d.platform.Logic, d.limits), d.faultHooks.Offset)
 	d.resp = resp.New(resp.Options{Core: d.node, Status: nodeStatus{d.admission, &d.service}, Runner: d.runtime, Classes: d.platform.Names.Classes,
 		Tenants: d.platform.Names.Tenants, OnUnknownClass: d.node.CountUnknownClass, Limits: d.limits, Log: d.log,
-		Timestamps: clock.NewTimestamps(d.limits.MaxClockAhead, maxStampAge(d.platform.Logic, d.limits), d.faultHooks.Offset)})
+		Timestamps: d.stamps})
 	if d.runtime == nil {
 		return nil
 	}
--- a/internal/platform/clock/timestamps.go
+++ b/internal/platform/clock/timestamps.go
@@ -46,6 +46,13 @@
 	}}
 }
 
+// SetMaxBehind sets how far in the past a stamp may lie, for the stamps that are converted from now on.
+func (s *Timestamps) SetMaxBehind(behind time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxBehind = behind
+}
+
 // Instant returns when a stamp was made. It returns an error if the stamp is out of bounds by every recorded offset. If the next
 // rejected stamp implies the same offset as the last one, their clock is assumed to be correct and its offset is recorded.
 func (s *Timestamps) Instant(stamp time.Time) (time.Time, error) {
