Say at SIGHUP which changes of any file are not applied until a restart

Operators saw nothing: a changed limit, deadline variable or modifier of [uwsgi], [metrics], [traces], the seed and the meters neither took effect nor left a line in the log. What was told was told once, at the SIGHUP that brought the change, and again at the one that took it back.

Cause: the list of what is read once was kept by hand, and compared with the file read last instead of with what runs.

The configuration of the start is kept and compared at each reload; the keys of [uwsgi] are compared one by one, so a new one is told without further work. The code moves to restartneeded.go. A second test knows the keys of all files: a new one must be listed as applied or as told.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,7 @@
 //
 // There is one file per concern: config.go (files), start.go (start order), service.go (whether the node accepts callers), upstreams.go
 // (uwsgi servers), journal.go, store.go, fleet.go, drain.go, metrics.go, operators.go, snapshot.go (state for the next process),
-// quota.go, listeners.go, reload.go and shutdown.go.
+// quota.go, listeners.go, reload.go, restartneeded.go (what a reload does not apply) and shutdown.go.
 package daemon
 
 import (
@@ -57,6 +57,7 @@
 
 	platform *config.Platform              // owned by the goroutine of Start, then of Run
 	deploy   atomic.Pointer[config.Deploy] // as last read
+	started  startConfig
 	reloads  <-chan os.Signal
 	load     func() (*Config, error)
 	counts   reloadCounts
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -56,33 +56,6 @@
 	return &kept
 }
 
-// warnRestartRequired logs the changes in a new configuration that are not applied until a restart.
-func (d *Daemon) warnRestartRequired(next *Config) {
-	p, old := next.Platform, d.platform
-	if p.Name != old.Name || p.Listen != old.Listen || p.OperatorAddress != old.OperatorAddress || p.Limits != old.Limits ||
-		next.Deploy.Uwsgi.Listen != d.deploy.Load().Uwsgi.Listen || (p.Runtime == "") != (old.Runtime == "") || (p.Catalogue == "") != (old.Catalogue == "") {
-		d.log.Warn("changes of the name, listen addresses, limits or set of links are not applied until a restart")
-	}
-	if current, next := d.deploy.Load().Uwsgi, next.Deploy.Uwsgi; current.TLS != next.TLS || current.ServersTLS != next.ServersTLS {
-		d.log.Warn("changes of TLS file names are not applied until a restart; the current files are reloaded")
-	}
-	d.warnUnappliedSections(next.Deploy)
-}
-
-// warnUnappliedSections logs the sections of the deployment file that are only read at the start and differ in next.
-func (d *Daemon) warnUnappliedSections(next *config.Deploy) {
-	current := d.deploy.Load()
-	if next.Ledger != current.Ledger {
-		d.log.Warn("changes in section [ledger] are not applied until a restart")
-	}
-	if !reflect.DeepEqual(next.Store, current.Store) {
-		d.log.Warn("changes in section [store] are not applied until a restart", "folder_in_use", d.store.Dir())
-	}
-	if !reflect.DeepEqual(next.Fleet, current.Fleet) {
-		d.log.Warn("changes in section [fleet] are not applied until a restart")
-	}
-}
-
 // reconfigure applies the settings and the description of a new configuration to the core, admission and the fronts, and stores the
 // merged settings in it (package reconfigure). It returns an error and changes nothing if a file is rejected.
 func (d *Daemon) reconfigure(next *Config) error {
@@ -104,8 +77,7 @@
 	if err := d.applySettings(plan); err != nil {
 		return err
 	}
-	names := *old.Names
-	names.Classes = plan.ClassIndex
+	names := settings.NameIndex{Classes: plan.ClassIndex, Tenants: old.Names.Tenants, GaugeNames: p.Names.GaugeNames}
 	p.Logic, p.Names = plan.Settings, &names
 	if operations != nil {
 		if changed := operations.WithoutFormerKey(d.operations); len(changed) > 0 {
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"maps"
+	"reflect"
+	"slices"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/store"
 	"sloehitch/internal/testing/standin"
@@ -191,3 +193,76 @@
 		t.Errorf("answer to a stamp within the new deadlines: %q", got)
 	}
 }
+
+// TestReloadTellsWhatNeedsRestart guards against a changed value that neither takes effect nor is told: the limits of the uwsgi front,
+// metrics, traces, the seed and the meters were read once, without a line in the log. Each key of the files is either named here or
+// among those that a reload applies, so that a new key must be put in one of the two lists.
+func TestReloadTellsWhatNeedsRestart(t *testing.T) {
+	servers := newBreakingServers(t)
+	base := oneClass("retryable", "")
+	r := serveFiles(t, base, "", servers.addresses...)
+	reloaded := func(files rigFiles) (added string) {
+		before := len(r.log.String())
+		if !r.reload(files) {
+			t.Fatalf("the files were rejected: %+v\n%s", files, r.log.String())
+		}
+		return r.log.String()[before:]
+	}
+	const untilRestart = "not applied until a restart"
+	for _, c := range []struct{ uwsgi, deploy, replace, with, want string }{
+		{uwsgi: "modifiers = [0, 5]\n", want: "section [uwsgi] are not applied until a restart\" keys=[modifiers]"},
+		{uwsgi: "mode = \"0600\"\n", want: "keys=[mode]"},
+		{uwsgi: "half_close = \"leaves\"\n", want: "keys=[half_close]"},
+		{uwsgi: "deadline = \"HTTP_X\"\n", want: "keys=[deadline]"},
+		{uwsgi: "per_source = 3\n", want: "keys=[per_source]"},
+		{uwsgi: "body_mb = 3\n", want: "keys=[body_mb]"},
+		{uwsgi: "server_most = 3\n", want: "keys=[server_most]"},
+		{uwsgi: "tls.cert = \"c\"\ntls.key = \"k\"\n", want: "TLS file names"},
+		{uwsgi: "servers_tls.ca = \"c\"\n", want: "TLS file names"},
+		{deploy: "[metrics]\nlisten = \"127.0.0.1:1\"\n", want: "section [metrics]"},
+		{deploy: "[traces]\nfile = \"f\"\n", want: "section [traces]"},
+		{deploy: "[traces]\nshare = 0.5\n", want: "section [traces]"},
+		{deploy: "[ledger]\ndir = \"l\"\n", want: "section [ledger]"},
+		{deploy: "[store]\nadmin = \"127.0.0.1:1\"\n", want: "section [store]"},
+		{deploy: "[fleet]\nzone = \"z\"\n", want: "section [fleet]"},
+		{replace: `"seed":"1"`, with: `"seed":"2"`, want: "the seed"},
+		{replace: `"name":"n1"`, with: `"name":"n2"`, want: "changes of the name"},
+		{replace: `"memory_mb":64`, with: `"memory_mb":65`, want: "limits"},
+		{replace: `"core_use","on_cores"`, with: `"on_cores","core_use"`, want: "the meters"},
+		{replace: `"quota-per-s":1000`, with: `"quota-per-s":999`, want: "tenants"},
+	} {
+		files := base
+		files.uwsgi, files.deploy, files.replace, files.with = c.uwsgi, c.deploy, c.replace, c.with
+		for range 2 { // told for as long as the files differ from the running node
+			if added := reloaded(files); !strings.Contains(added, c.want) || !strings.Contains(added, untilRestart) {
+				t.Errorf("%+v: the log lacks %q:\n%s", c, c.want, added)
+			}
+		}
+		if added := reloaded(base); strings.Contains(added, untilRestart) {
+			t.Errorf("%+v: told of a restart although the files are those of the start again:\n%s", c, added)
+		}
+	}
+}
+
+// TestEachKeyIsAppliedOrTold checks that the tests of reloads know each key of the files.
+func TestEachKeyIsAppliedOrTold(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		section any
+		tag     string
+		known   string // keys that a reload applies, then those whose change it tells
+	}{
+		{"the deployment file", config.Deploy{}, "toml", "uwsgi; store fleet ledger metrics traces"},
+		{"[uwsgi]", config.Uwsgi{}, "toml", "servers openapi; listen mode modifiers half_close deadline per_source body_mb server_most tls servers_tls"},
+		{"the platform's file", config.Platform{}, "json", "runtime lookup catalog stop_ms settings; name listen ops seed limits"},
+	} {
+		known := strings.Fields(strings.ReplaceAll(c.known, ";", " "))
+		section := reflect.TypeOf(c.section)
+		for i := range section.NumField() {
+			key := section.Field(i).Tag.Get(c.tag)
+			if key != "-" && !slices.Contains(known, key) {
+				t.Errorf("%s: key %q is neither known as applied at a reload nor as told", c.name, key)
+			}
+		}
+	}
+}
--- a/internal/daemon/reloadrig_test.go
+++ b/internal/daemon/reloadrig_test.go
@@ -28,11 +28,12 @@
 
 // rigFiles is what a test varies in the files of a node. The uwsgi front serves the operations.
 type rigFiles struct {
-	classes      string // JSON objects, as rigClass returns them
-	operations   string // lines of YAML, as rigOperation returns them
-	deploy       string // further lines of the deployment file
-	uwsgi        string // further lines of its section [uwsgi]
-	withoutUwsgi bool
+	classes       string // JSON objects, as rigClass returns them
+	operations    string // lines of YAML, as rigOperation returns them
+	deploy        string // further lines of the deployment file
+	uwsgi         string // further lines of its section [uwsgi]
+	withoutUwsgi  bool
+	replace, with string // of a text in the platform's file
 }
 
 // rigClass returns a class of the settings.
@@ -90,6 +91,10 @@
 	base = base[:from] + `"classes":[` + files.classes + base[to:]
 	base = strings.Replace(base, `"class-calls":[true,true],`, ``, 1)
 	base = strings.Replace(base, `"degraded-worth":[0.6,0],`, ``, 1)
+	if files.replace != "" && !strings.Contains(base, files.replace) {
+		r.t.Fatalf("the platform's file lacks %s", files.replace)
+	}
+	base = strings.Replace(base, files.replace, files.with, 1)
 	for name, text := range map[string]string{
 		"config.json":  strings.Replace(base, `"stop_ms":3000`, `"stop_ms":600`, 1),
 		"deploy.toml":  files.deploy + uwsgi,
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -68,6 +68,7 @@
 		log:        o.Log,
 		faultHooks: faultHooks,
 		platform:   c.Platform,
+		started:    startConfig{*c.Platform, c.Deploy},
 		reloads:    o.Reload,
 		load:       o.Load,
 		directory:  directory.New(c.Platform.Name, c.Platform.Directory, o.Limits, o.Log),
