--- a/internal/daemon/reload_semantics_test.go
+++ b/internal/daemon/reload_semantics_test.go
@@ -145,9 +145,6 @@
 	}
 }
 
-// rigKey is the variable with an idempotency key.
-func rigKey(key string) [2]string { return [2]string{"HTTP_IDEMPOTENCY_KEY", key} }
-
 // TestKeysOfClassMadeDedupAreKept guards against a reload after which each keyed request of a class is answered 503: the class needs
 // keys from then on, and the front still read none.
 func TestKeysOfClassMadeDedupAreKept(t *testing.T) {
--- a/internal/daemon/reloadrig_test.go
+++ b/internal/daemon/reloadrig_test.go
@@ -129,6 +129,9 @@
 	return status
 }
 
+// rigKey is the variable with an idempotency key.
+func rigKey(key string) [2]string { return [2]string{"HTTP_IDEMPOTENCY_KEY", key} }
+
 // logBuffer collects a node's log.
 type logBuffer struct {
 	mu   sync.Mutex
--- a/internal/node/keyscope_test.go
+++ b/internal/node/keyscope_test.go
@@ -141,3 +141,28 @@
 		t.Errorf("%s, want the result of the first run", got)
 	}
 }
+
+// TestKeyOfOtherProcessCountsOnceClassNeedsNoKeys guards against the second run of a key that ran in an earlier process, or is held by
+// the one that this process replaces, if this process was started with settings in which the class needs no keys.
+func TestKeyOfOtherProcessCountsOnceClassNeedsNoKeys(t *testing.T) {
+	t.Run("earlier process", func(t *testing.T) {
+		h := newHarness(t)
+		h.endKeys(t, logic.NonIdempotent)
+		record := servedRecord
+		record.Key, record.Class, record.ArrivedAt, record.Window = "k", "book", h.clock.now, 10*time.Second
+		h.Restore(record)
+		h.submit("a", classBook, "k", time.Second)
+		if got := fmt.Sprint(h.runner, h.responses["a"]); got != " [served r]" {
+			t.Errorf("%s, want the recorded result without a run", got)
+		}
+	})
+	t.Run("replaced process", func(t *testing.T) {
+		h, j := newJournalHarness(t)
+		h.opts.Journal = &sharedJournal{fakeJournal: j, held: map[string]RunRecord{"k": servedRecord}}
+		h.endKeys(t, logic.NonIdempotent)
+		h.submit("a", classBook, "k", 0)
+		if got := fmt.Sprint(h.runner, h.responses["a"]); got != " [served r]" {
+			t.Errorf("%s, want the other process's result without a run", got)
+		}
+	})
+}
