Share the log buffer of the test rigs, and one release of an unused uwsgi server

The soak and the rig of reloads each had the same buffer that is read while a process writes its log; it is a package of internal/testing now. Pool.release and cancelWait had the same line; both call releaseUnused. Whether the client caused a failure is asked in one function, also by the new log line of failed attempts, which must not blame a server for it. Imports of the daemon's tests stand in the groups of the other packages.

--- a/internal/daemon/crowd_test.go
+++ b/internal/daemon/crowd_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"sloehitch/internal/testing/standin"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"sloehitch/internal/testing/standin"
 )
 
 // TestManyConnectionsKeepConcurrencyLimit sends requests on 20 connections at once and checks that each is answered once and that
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -5,13 +5,14 @@
 	"net"
 	"os"
 	"path/filepath"
-	"sloehitch/internal/platform/config"
-	"sloehitch/internal/platform/limits"
-	"sloehitch/internal/testing/standin"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"sloehitch/internal/platform/config"
+	"sloehitch/internal/platform/limits"
+	"sloehitch/internal/testing/standin"
 )
 
 // TestHandOverRunsKeyOnce runs two processes that accept from one inherited listener and share $TMPDIR, as when one replaces the
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"os"
+	"testing"
+	"time"
+
 	"sloehitch/internal/platform/apispec"
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/platform/limits"
 	"sloehitch/internal/testing/standin"
-	"testing"
-	"time"
 )
 
 const api = `{"openapi":"3.0.3","info":{"title":"booking","version":"1"},"paths":{
--- a/internal/daemon/journal_test.go
+++ b/internal/daemon/journal_test.go
@@ -6,13 +6,14 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
 	"sloehitch/internal/platform/config"
 	"sloehitch/internal/platform/limits"
 	"sloehitch/internal/store"
 	"sloehitch/internal/testing/standin"
-	"strings"
-	"testing"
-	"time"
 )
 
 // TestReloadDoesNotChangeLedger checks that a reload does not apply changes of section [ledger], and logs that.
--- a/internal/daemon/listeners_test.go
+++ b/internal/daemon/listeners_test.go
@@ -3,9 +3,10 @@
 import (
 	"net"
 	"os"
-	"sloehitch/internal/platform/limits"
 	"syscall"
 	"testing"
+
+	"sloehitch/internal/platform/limits"
 )
 
 // TestListenWithRetryRetriesTransientErrors checks that listening is retried after transient errors until the timeout, and fails at
--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -6,13 +6,14 @@
 	"io"
 	"net"
 	"slices"
+	"strings"
+	"testing"
+	"time"
+
 	"sloehitch/internal/operatorapi"
 	"sloehitch/internal/platform/limits"
 	"sloehitch/internal/store"
 	"sloehitch/internal/testing/standin"
-	"strings"
-	"testing"
-	"time"
 )
 
 // TestOperatorStateSetsHealthAndServers checks that the operators' state takes a node out of service and changes its uwsgi servers.
--- a/internal/daemon/reload_load_test.go
+++ b/internal/daemon/reload_load_test.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sloehitch/internal/testing/standin"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"sloehitch/internal/testing/standin"
 )
 
 // semanticsChange is a reload that gives the class other semantics. They may be in force from sentAt, and are from appliedAt.
--- a/internal/daemon/reload_semantics_test.go
+++ b/internal/daemon/reload_semantics_test.go
@@ -1,11 +1,12 @@
 package daemon
 
 import (
-	"sloehitch/internal/node"
-	"sloehitch/internal/testing/standin"
 	"strings"
 	"testing"
 	"time"
+
+	"sloehitch/internal/node"
+	"sloehitch/internal/testing/standin"
 )
 
 // The statuses of the tests' responses.
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -5,12 +5,13 @@
 	"maps"
 	"reflect"
 	"slices"
-	"sloehitch/internal/platform/config"
-	"sloehitch/internal/store"
-	"sloehitch/internal/testing/standin"
 	"strings"
 	"testing"
 	"time"
+
+	"sloehitch/internal/platform/config"
+	"sloehitch/internal/store"
+	"sloehitch/internal/testing/standin"
 )
 
 // TestReloadAppliesUwsgiServers checks that a reload applies the file's list of uwsgi servers unless operators have set another.
--- a/internal/daemon/reloadrig_test.go
+++ b/internal/daemon/reloadrig_test.go
@@ -1,18 +1,19 @@
 package daemon
 
 import (
-	"bytes"
 	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"sloehitch/internal/platform/limits"
-	"sloehitch/internal/testing/standin"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"sloehitch/internal/platform/limits"
+	"sloehitch/internal/testing/logbuffer"
+	"sloehitch/internal/testing/standin"
 )
 
 // reloadRig is a node that runs from files, which a test replaces before SIGHUP.
@@ -23,7 +24,7 @@
 	servers []string // of the uwsgi front
 	runtime string   // address; empty: none
 	reloads chan os.Signal
-	log     *logBuffer
+	log     *logbuffer.Buffer
 }
 
 // rigFiles is what a test varies in the files of a node. The uwsgi front serves the operations.
@@ -55,7 +56,7 @@
 func serveFiles(t *testing.T, files rigFiles, runtime string, servers ...string) *reloadRig {
 	t.Helper()
 	s := &testNode{address: standin.FreeAddress(t), uwsgi: standin.FreeAddress(t), stop: make(chan os.Signal, 1), stopped: make(chan error, 1)}
-	r := &reloadRig{testNode: s, t: t, dir: t.TempDir(), servers: servers, runtime: runtime, reloads: make(chan os.Signal, 1), log: &logBuffer{}}
+	r := &reloadRig{testNode: s, t: t, dir: t.TempDir(), servers: servers, runtime: runtime, reloads: make(chan os.Signal, 1), log: &logbuffer.Buffer{}}
 	r.write(files)
 	load := func() (*Config, error) {
 		return Load(filepath.Join(r.dir, "config.json"), filepath.Join(r.dir, "deploy.toml"))
@@ -132,26 +133,6 @@
 // rigKey is the variable with an idempotency key.
 func rigKey(key string) [2]string { return [2]string{"HTTP_IDEMPOTENCY_KEY", key} }
 
-// logBuffer collects a node's log.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write implements io.Writer.
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(p)
-}
-
-// String returns the log so far.
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // breakingServers are two uwsgi servers. The one that reads a request first whose body starts with "break" ends the connection without a
 // response once release is closed; the other one responds. So each such request fails at its first attempt, however the pool chooses
 // its servers. A request whose body starts with "hold" is answered once releaseHeld is closed.
--- a/internal/daemon/uwsgi_test.go
+++ b/internal/daemon/uwsgi_test.go
@@ -5,13 +5,14 @@
 	"fmt"
 	"io"
 	"net"
-	"sloehitch/internal/frontend/uwsgi/packet"
-	"sloehitch/internal/store"
-	"sloehitch/internal/testing/standin"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"sloehitch/internal/frontend/uwsgi/packet"
+	"sloehitch/internal/store"
+	"sloehitch/internal/testing/standin"
 )
 
 // TestUwsgiRejectionsAndErrors checks that the uwsgi front answers each request once, with the status codes of rejections and errors, and
--- a/internal/frontend/uwsgi/run.go
+++ b/internal/frontend/uwsgi/run.go
@@ -97,13 +97,13 @@
 		TimeLeft: r.request.deadline.Sub(now)})
 }
 
-// logFailedAttempt logs a failed attempt with what decided about a retry, unless nobody waits for the response any more.
+// logFailedAttempt logs a failed attempt with what decided about a retry, unless the client caused the failure or waits no more.
 func (p *Pool) logFailedAttempt(a *attempt, err, refusal error) {
 	detail := fmt.Errorf("%w; request %s, server %s, sent %t", err, a.run.id, a.server, a.sent)
 	switch {
 	case refusal == nil:
 		p.log.Warn("uwsgi attempt failed, retrying on another server", detail)
-	case !errors.Is(refusal, context.Canceled):
+	case !errors.Is(refusal, context.Canceled) && !causedByClient(err):
 		p.log.Warn("uwsgi attempt failed, not retried", fmt.Errorf("%w; %w", detail, refusal))
 	}
 }
@@ -116,7 +116,7 @@
 	case !r.sent:
 		p.log.Warn("uwsgi request not sent to any server", err)
 		return logic.OutcomeNotStarted
-	case errors.Is(ctx.Err(), context.Canceled), errors.As(err, new(*bodyError)), errors.Is(err, errClientWrite):
+	case errors.Is(ctx.Err(), context.Canceled), causedByClient(err):
 		// A failure on the client's side does not count against the servers: otherwise a few faulty clients would make the node
 		// shed the requests of all clients.
 		return logic.OutcomeCanceled
@@ -126,6 +126,11 @@
 	}
 }
 
+// causedByClient reports whether an attempt failed because its client's connection did.
+func causedByClient(err error) bool {
+	return errors.As(err, new(*bodyError)) || errors.Is(err, errClientWrite)
+}
+
 // acquire returns a server for a run, after waiting in the queue if necessary.
 func (p *Pool) acquire(ctx context.Context, r *run, attempted []string) (server string, err error) {
 	p.mu.Lock()
@@ -167,6 +172,11 @@
 func (p *Pool) release(server string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.releaseUnused(server)
+}
+
+// releaseUnused implements release; the caller must hold mu.
+func (p *Pool) releaseUnused(server string) {
 	p.deliver(p.balancer.Release(time.Now(), server, balancer.ResultCanceled, 0))
 }
 
@@ -179,7 +189,7 @@
 		return
 	}
 	if server := <-wait; server != "" {
-		p.deliver(p.balancer.Release(time.Now(), server, balancer.ResultCanceled, 0))
+		p.releaseUnused(server)
 	}
 }
 
--- a/internal/testing/soak/process.go
+++ b/internal/testing/soak/process.go
@@ -1,19 +1,18 @@
 package soak
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"sloehitch/internal/testing/faulthooks"
 	"sloehitch/internal/testing/faults/linkproxy"
+	"sloehitch/internal/testing/logbuffer"
 )
 
 // process is a process of the node and its runtime. Times are since the test run began.
@@ -24,7 +23,7 @@
 	proxies     []*linkproxy.Proxy // to its runtime; the configuration names one of them
 	activeProxy int                // index of the proxy that the configuration names
 	runtime     *runtime
-	log         processLog
+	log         logbuffer.Buffer
 
 	startedAt    time.Duration
 	readyAt      time.Duration // when it was connected to its runtime and accepted clients; 0: never
@@ -35,25 +34,6 @@
 	done         chan struct{}
 }
 
-// processLog collects what a process writes.
-type processLog struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write appends to the log.
-func (l *processLog) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-func (l *processLog) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // Command returns the command that starts a node's process with a configuration file; the rig adds variables to its environment.
 type Command func(config string) *exec.Cmd
 
