Send nothing on a connection that the node has ended, in the test of hostile clients

The client looks whether its connection has ended just before it sends, as a balancer does, and then opens another. A request that is sent on a connection which has not ended must be answered, as before; between the look and the write there are some microseconds. Connections that ended before use are printed.

--- a/internal/testing/hostile/rig_test.go
+++ b/internal/testing/hostile/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,6 +152,7 @@
 	latencies  []time.Duration
 	rejected   int
 	closed     int // connections that had no slot, on which nothing was read (docs/operators/uwsgi.md)
+	ended      int // connections that the node had ended before a request was sent on them (docs/design/crossings.md)
 	unanswered []string
 }
 
@@ -158,8 +161,8 @@
 		return fmt.Sprintf("no answers, %d connections without a slot", c.closed)
 	}
 	slices.Sort(c.latencies)
-	return fmt.Sprintf("%d answers, median %.1f ms, latest %.1f ms, %d rejected, %d connections without a slot, %d unanswered", len(c.latencies),
-		milliseconds(c.latencies[len(c.latencies)/2]), milliseconds(c.latencies[len(c.latencies)-1]), c.rejected, c.closed, len(c.unanswered))
+	return fmt.Sprintf("%d answers, median %.1f ms, latest %.1f ms, %d rejected, %d connections without a slot, %d ended before use, %d unanswered", len(c.latencies),
+		milliseconds(c.latencies[len(c.latencies)/2]), milliseconds(c.latencies[len(c.latencies)-1]), c.rejected, c.closed, c.ended, len(c.unanswered))
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
@@ -190,6 +193,12 @@
 			}
 			in = redcon.NewReader(conn)
 		}
+		if hasEnded(conn) { // a balancer sends nothing on such a connection either
+			c.ended++
+			conn.Close()
+			conn = nil
+			continue
+		}
 		id, began := fmt.Sprintf("aa%014x", i), time.Now()
 		_ = conn.SetDeadline(began.Add(2 * deadline))
 		_, err := io.WriteString(conn, standin.Do(i, "slot-search", id, began, "true", ""))
@@ -213,6 +222,19 @@
 	}
 }
 
+// hasEnded reports whether the peer has closed the connection, without reading from it.
+func hasEnded(conn net.Conn) (ended bool) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	controlErr := raw.Control(func(descriptor uintptr) {
+		n, _, err := syscall.Recvfrom(int(descriptor), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN)
+	})
+	return ended || controlErr != nil
+}
+
 // runUwsgi sends requests over uwsgi until stop is closed. A connection that is closed without a byte had no slot.
 func (c *trueClient) runUwsgi(t *testing.T, n *node, stop <-chan struct{}) {
 	request := uwsgiPacket(t, "/read", "")
