--- a/internal/daemon/crossings_test.go
+++ b/internal/daemon/crossings_test.go
@@ -34,8 +34,8 @@
 }
 
 // runInBackground calls Run in the background, with the test's stop channel as its signals.
-func (s *testNode) runInBackground() *testNode {
-	go func() { s.stopped <- s.Run(ReceivedAt(s.stop)) }()
+func (s *testNode) runInBackground(t *testing.T) *testNode {
+	runUntilTestEnds(t, s.Daemon, s.stop, s.stopped)
 	return s
 }
 
@@ -67,7 +67,7 @@
 func TestRequestCompletedAfterGraceIsNotRun(t *testing.T) {
 	release, started := make(chan struct{}), make(chan struct{}, 1)
 	rt := standin.NewRuntime(t, func(*standin.Job) (string, string) { started <- struct{}{}; <-release; return "OK", "r" })
-	s := startWithConfig(t, rt, "", func(p *config.Platform) { p.Logic.DrainGrace = 0 }).runInBackground()
+	s := startWithConfig(t, rt, "", func(p *config.Platform) { p.Logic.DrainGrace = 0 }).runInBackground(t)
 	b := standin.Dial(t, s.address)
 	b.Do(1, "slot-search", standin.RequestID(1), time.Now(), "whole", "")
 	<-started
@@ -126,24 +126,24 @@
 		{"SIGTERM before Run", func(s *testNode, _ chan os.Signal, gate, _ chan struct{}) {
 			close(gate)
 			s.stop <- syscall.SIGTERM
-			s.runInBackground()
+			s.runInBackground(t)
 		}},
 		{"SIGTERM twice", func(s *testNode, _ chan os.Signal, gate, _ chan struct{}) {
 			close(gate)
-			s.runInBackground()
+			s.runInBackground(t)
 			s.stop <- syscall.SIGTERM
 			s.waitUntil(t, "the shutdown begins", s.service.draining.Load)
 			s.stop <- syscall.SIGTERM
 		}},
 		{"SIGTERM during a reload", func(s *testNode, hup chan os.Signal, gate, reading chan struct{}) {
-			s.runInBackground()
+			s.runInBackground(t)
 			hup <- syscall.SIGHUP
 			<-reading
 			s.stop <- syscall.SIGTERM
 			close(gate)
 		}},
 		{"SIGHUP during the shutdown", func(s *testNode, hup chan os.Signal, gate, reading chan struct{}) {
-			s.runInBackground()
+			s.runInBackground(t)
 			s.stop <- syscall.SIGTERM
 			s.waitUntil(t, "the shutdown begins", s.service.draining.Load)
 			hup <- syscall.SIGHUP
@@ -185,7 +185,7 @@
 func TestUndoAroundEndOfRunAnswersOnce(t *testing.T) {
 	hold := make(chan chan struct{}, 1)
 	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { <-<-hold; return "OK", "of " + string(j.Body) })
-	s := startWithConfig(t, rt, "", nil).runInBackground()
+	s := startWithConfig(t, rt, "", nil).runInBackground(t)
 	b := standin.Dial(t, s.address)
 	tag := 0
 	for i := range 60 {
@@ -235,7 +235,7 @@
 // package node, but the repeat must be served and the key must run once.
 func TestUndoWithItsRequestRunsOnce(t *testing.T) {
 	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { return "OK", "of " + string(j.Body) })
-	s := startWithConfig(t, rt, "", nil).runInBackground()
+	s := startWithConfig(t, rt, "", nil).runInBackground(t)
 	b := standin.Dial(t, s.address)
 	for i := range 40 {
 		body, key := fmt.Sprint("body", i), fmt.Sprintf(",opkey=k%d", i)
@@ -255,7 +255,7 @@
 // TestRequestsArriveByteByByte sends requests byte by byte, with arbitrary bytes in their bodies and in all forms that the protocol allows.
 func TestRequestsArriveByteByByte(t *testing.T) {
 	rt := standin.NewRuntime(t, func(j *standin.Job) (string, string) { return "OK", string(j.Body) })
-	s := startWithConfig(t, rt, "", nil).runInBackground()
+	s := startWithConfig(t, rt, "", nil).runInBackground(t)
 	b := standin.Dial(t, s.address)
 	fields := func(id int) string {
 		return fmt.Sprintf("req=%s,ts=%d,need=0.5", standin.RequestID(id), time.Now().UnixMilli())
--- a/internal/daemon/deployments_test.go
+++ b/internal/daemon/deployments_test.go
@@ -74,7 +74,7 @@
 				t.Fatal(err)
 			}
 			stop, stopped := make(chan os.Signal, 1), make(chan error, 1)
-			go func() { stopped <- d.Run(ReceivedAt(stop)) }()
+			runUntilTestEnds(t, d, stop, stopped)
 			t.Cleanup(d.listeners.closeAll)
 
 			b := standin.Dial(t, p.Listen)
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -50,7 +50,7 @@
 		}
 		stop := make(chan os.Signal, 1)
 		daemons, stops = append(daemons, d), append(stops, stop)
-		go func() { stopped <- d.Run(ReceivedAt(stop)) }()
+		runUntilTestEnds(t, d, stop, stopped)
 		<-rt.Syncs
 		for range 3 {
 			b := standin.Dial(t, ln.Addr().String())
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"os"
 	"testing"
 	"time"
@@ -57,11 +58,34 @@
 		t.Fatal(err)
 	}
 	s := &testNode{d, address, uwsgiAddress, make(chan os.Signal, 1), make(chan error, 1)}
-	go func() { s.stopped <- d.Run(ReceivedAt(s.stop)) }()
+	runUntilTestEnds(t, d, s.stop, s.stopped)
+	t.Cleanup(d.listeners.closeAll)
+	return s
+}
+
+// errTestEnded ends the nodes that a test has left running.
+var errTestEnded = errors.New("the test has ended")
+
+// runUntilTestEnds runs a node in the background and sends Run's result to stopped, which must have room for it. A node that still runs at
+// the end of the test is ended, without a shutdown: its sweeps would otherwise go on in later tests, and write its snapshot into their
+// folders.
+func runUntilTestEnds(t testing.TB, d *Daemon, stop <-chan os.Signal, stopped chan<- error) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		stopped <- d.Run(ReceivedAt(stop))
+	}()
 	t.Cleanup(func() {
-		d.listeners.closeAll()
+		select {
+		case d.failed <- errTestEnded:
+		case <-ended:
+		}
+		select {
+		case <-ended:
+		case <-time.After(standin.WaitTimeout):
+			t.Error("a node still runs at the end of its test")
+		}
 	})
-	return s
 }
 
 // expectNoMoreAnswers fails the test if the next message on the connection is not the answer to a health check that it sends.
