Share the loop of the store's two checks at each election timeout

watchMembership and watchReadmissions had the same ticker loop, word for word. Both now pass their check to eachElectionTimeout. The comment of internal/node/repeat.go is wrapped like its neighbours.

Nothing is decided otherwise; internal/store and internal/node pass, -race.

--- a/internal/node/repeat.go
+++ b/internal/node/repeat.go
@@ -7,9 +7,10 @@
 //
 //	may run again = read as idempotent and its class, and the class that it would have now, are idempotent now
 //
-// SIGHUP may change the class, or move an operation to another class, while the request is in flight. A request that was read as idempotent is not run again
-// once its class is not, since the operators say that a second run does harm; one that was not stays so, since its
-// caller was told nothing else. Back ends ask each time, so that none keeps a copy of the classes.
+// SIGHUP may change the class, or move an operation to another class, while the request is in flight. A request that was
+// read as idempotent is not run again once its class is not, since the operators say that a second run does harm; one that
+// was not stays so, since its caller was told nothing else. Back ends ask each time, so that none keeps a copy of the
+// classes.
 
 // MayRunAgain reports whether a request in flight may be run again although it may have run.
 func (n *Node) MayRunAgain(id string) bool {
--- a/internal/store/membershipwatch.go
+++ b/internal/store/membershipwatch.go
@@ -9,9 +9,8 @@
 	"sloehitch/internal/store/quorum"
 )
 
-// watchMembership saves the progress of the other members once per election timeout, and detects whether this member
-// was removed. It returns when the store is closed or the member is excluded.
-func (s *Store) watchMembership(r *raft.Raft) {
+// eachElectionTimeout calls check once per election timeout, until it returns false or the store is closed.
+func (s *Store) eachElectionTimeout(check func() (again bool)) {
 	tick := time.NewTicker(s.opts.ElectionTimeout)
 	defer tick.Stop()
 	for {
@@ -20,6 +19,16 @@
 			return
 		case <-tick.C:
 		}
+		if !check() {
+			return
+		}
+	}
+}
+
+// watchMembership saves the progress of the other members once per election timeout, and detects whether this member
+// was removed. It returns when the store is closed or the member is excluded.
+func (s *Store) watchMembership(r *raft.Raft) {
+	s.eachElectionTimeout(func() (again bool) {
 		if c := r.GetConfiguration(); c.Error() == nil && len(c.Configuration().Servers) > 0 {
 			s.peers.setConfiguration(c.Configuration())
 		}
@@ -27,12 +36,10 @@
 			s.opts.Logger.Warn("progress of the other members not stored", "error", err)
 		}
 		if _, leader := r.LeaderWithID(); leader != "" || len(s.opts.Members) <= 1 {
-			continue
+			return true
 		}
-		if s.excludedByPeers(r) {
-			return
-		}
-	}
+		return !s.excludedByPeers(r)
+	})
 }
 
 // excludedByPeers asks the others whether this member may still participate, and stops raft if it may not. Raft does
--- a/internal/store/readmission.go
+++ b/internal/store/readmission.go
@@ -74,18 +74,12 @@
 // watchReadmissions readmits members while this member leads, and finishes this member's own readmission, until the store
 // is closed.
 func (s *Store) watchReadmissions(r *raft.Raft) {
-	tick := time.NewTicker(s.opts.ElectionTimeout)
-	defer tick.Stop()
-	for {
-		select {
-		case <-s.done:
-			return
-		case <-tick.C:
-		}
+	s.eachElectionTimeout(func() (again bool) {
 		if s.finishReadmission(r) && r.State() == raft.Leader {
 			s.readmitMembers(r)
 		}
-	}
+		return true
+	})
 }
 
 // readmitMembers makes the changes that are due for members that lost their data directories.
