--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -93,3 +94,14 @@
 		h.apply(r, admission.Decision{Kind: kind, ID: r.number})
 	}
 }
+
+// reconfigureClass applies settings in which a class is changed, as a reload does.
+func (h *harness) reconfigureClass(t *testing.T, class int, change func(*logic.Class)) {
+	t.Helper()
+	next := h.opts.Settings
+	next.Classes = slices.Clone(next.Classes)
+	change(&next.Classes[class])
+	if err := h.Reconfigure(next); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/node/keyscope_test.go
+++ b/internal/node/keyscope_test.go
@@ -12,12 +12,7 @@
 // endKeys changes class book, whose requests are keyed, to the given idempotency, without a window.
 func (h *harness) endKeys(t *testing.T, idempotency logic.Idempotency) {
 	t.Helper()
-	next := h.opts.Settings
-	next.Classes = append([]logic.Class(nil), next.Classes...)
-	next.Classes[classBook].Idempotency, next.Classes[classBook].IdempotencyWindow = idempotency, 0
-	if err := h.Reconfigure(next); err != nil {
-		t.Fatal(err)
-	}
+	h.reconfigureClass(t, classBook, func(c *logic.Class) { c.Idempotency, c.IdempotencyWindow = idempotency, 0 })
 }
 
 // TestKeyThatRanIsNotRunAgainOnceClassNeedsNoKeys guards against the second run of a key within its window: a reload that made the class
@@ -127,12 +122,7 @@
 	h.submit("a", classBook, "k", 0)
 	h.decide("a", admission.Run)
 	h.RunEnded("a", logic.OutcomeOK, 0, []byte("r"))
-	next := h.opts.Settings
-	next.Classes = append([]logic.Class(nil), next.Classes...)
-	next.Classes[classBook].IdempotencyWindow = 60e6
-	if err := h.Reconfigure(next); err != nil {
-		t.Fatal(err)
-	}
+	h.reconfigureClass(t, classBook, func(c *logic.Class) { c.IdempotencyWindow = 60e6 })
 	h.clock.now = h.clock.now.Add(50 * time.Second)
 	h.Sweep()
 	h.submit("b", classBook, "k", 0)
--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 
 	"sloehitch/internal/admission"
@@ -12,12 +11,7 @@
 // setIdempotency applies settings in which a class has the given idempotency, as a reload does.
 func (h *harness) setIdempotency(t *testing.T, class int, idempotency logic.Idempotency) {
 	t.Helper()
-	next := h.opts.Settings
-	next.Classes = slices.Clone(next.Classes)
-	next.Classes[class].Idempotency = idempotency
-	if err := h.Reconfigure(next); err != nil {
-		t.Fatal(err)
-	}
+	h.reconfigureClass(t, class, func(c *logic.Class) { c.Idempotency = idempotency })
 }
 
 // TestStricterOfSemanticsAsReadAndInForceHolds guards against a request that is run, or called for, twice because its class changed
