--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -83,7 +83,7 @@
 		if changed := operations.WithoutFormerKey(d.operations); len(changed) > 0 {
 			d.log.Warn("operations no longer read the idempotency key that they did; a repeat of a request from before is taken for a new one", "operations", changed)
 		}
-		d.operations = operations.ForMergedSettings(names.Classes, names.Tenants)
+		d.operations = operations.WithIndices(names.Classes, names.Tenants)
 		d.uwsgi.SetMapper(d.operations)
 	}
 	return nil
--- a/internal/daemon/restartneeded.go
+++ b/internal/daemon/restartneeded.go
@@ -51,33 +51,26 @@
 
 // warnUnappliedSections logs the sections of the deployment file that are only read at the start and differ in next.
 func (d *Daemon) warnUnappliedSections(next *config.Deploy) {
-	running := d.started.deploy
-	if !reflect.DeepEqual(next.Ledger, running.Ledger) {
-		d.log.Warn("changes in section [ledger] are not applied until a restart")
-	}
-	if !reflect.DeepEqual(next.Store, running.Store) {
-		d.log.Warn("changes in section [store] are not applied until a restart", "folder_in_use", d.store.Dir())
-	}
-	if !reflect.DeepEqual(next.Fleet, running.Fleet) {
-		d.log.Warn("changes in section [fleet] are not applied until a restart")
-	}
-	if !reflect.DeepEqual(next.Metrics, running.Metrics) {
-		d.log.Warn("changes in section [metrics] are not applied until a restart")
-	}
-	if !reflect.DeepEqual(next.Traces, running.Traces) {
-		d.log.Warn("changes in section [traces] are not applied until a restart")
+	for _, section := range changedKeys(*d.started.deploy, *next) {
+		message := "changes in section [" + section + "] are not applied until a restart"
+		switch section {
+		case "uwsgi": // warnUwsgiRestartRequired logs its keys
+		case "store":
+			d.log.Warn(message, "folder_in_use", d.store.Dir())
+		default:
+			d.log.Warn(message)
+		}
 	}
 }
 
-// changedKeys returns the keys in the deployment file of the fields in which two sections of the same type differ.
+// changedKeys returns the keys of the deployment file in which two files, or two sections of the same type, differ.
 func changedKeys[Section any](running, next Section) (keys []string) {
 	before, after := reflect.ValueOf(running), reflect.ValueOf(next)
 	for i := range before.NumField() {
-		if reflect.DeepEqual(before.Field(i).Interface(), after.Field(i).Interface()) {
-			continue
-		}
 		key, _, _ := strings.Cut(before.Type().Field(i).Tag.Get("toml"), ",")
-		keys = append(keys, key)
+		if key != "-" && !reflect.DeepEqual(before.Field(i).Interface(), after.Field(i).Interface()) {
+			keys = append(keys, key)
+		}
 	}
 	return keys
 }
--- a/internal/platform/apispec/openapi.go
+++ b/internal/platform/apispec/openapi.go
@@ -89,7 +89,7 @@
 // ForSettings returns the same operations for other settings, after it has checked them against these. It sets the priority weights of
 // classes in cfg where the document gives them.
 func (o *Operations) ForSettings(cfg *logic.Settings, classes, tenants map[string]int) (*Operations, error) {
-	checked := o.withIndices(classes, tenants)
+	checked := o.WithIndices(classes, tenants)
 	for _, op := range checked.operations {
 		if _, known := classes[op.Class]; !known {
 			return nil, fmt.Errorf("%s: %s: class %q is not in the settings", op.name, extension, op.Class)
@@ -123,13 +123,9 @@
 	return names
 }
 
-// ForMergedSettings returns the same operations with the indices that their classes and the tenants have once the settings that they were
-// checked against are merged with the running ones (package reconfigure). Each class must have an index.
-func (o *Operations) ForMergedSettings(classes, tenants map[string]int) *Operations {
-	return o.withIndices(classes, tenants)
-}
-
-func (o *Operations) withIndices(classes, tenants map[string]int) *Operations {
+// WithIndices returns the same operations with other indices of their classes and the tenants, such as those that they have once the
+// settings that the operations were checked against are merged with the running ones (package reconfigure). A class without an index gets 0.
+func (o *Operations) WithIndices(classes, tenants map[string]int) *Operations {
 	indexed := &Operations{router: o.router, operations: map[*openapi3.Operation]operation{}, tenants: tenants}
 	for doc, op := range o.operations {
 		op.class = classes[op.Class]
